--- /dev/null
+++ b/src/caller_connection.cc
@@ -0,0 +1,343 @@
+#include "caller_connection.h"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+
+#include "log.h"
+
+namespace chiverail {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// Bytes of further requests that a caller may send while one is being answered.
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+
+// Longest time for a body after its head; callers with slower links must not hold memory for ever.
+constexpr Duration kBodyTimeout = seconds(20);
+
+// Pause after a failed accept: running out of descriptors makes accept fail at once.
+constexpr Duration kAcceptRetry = milliseconds(50);
+
+std::string Hex(std::size_t value) {
+  char digits[16];
+  const auto end = std::to_chars(std::begin(digits), std::end(digits), value, 16).ptr;
+  return {digits, end};
+}
+
+std::string_view DefaultReason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Unknown";
+  }
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(HttpListener& listener, tcp::socket socket)
+    : listener_(listener), io_(std::move(socket)), timer_(listener.io()) {}
+
+void CallerConnection::Start() {
+  SetSilenceLimit(io_.socket(), listener_.limits().idle_timeout);
+  io_.Start(
+      shared_from_this(), [this](std::string_view bytes) { OnBytes(bytes); },
+      [this](const std::string&) { Gone(); });
+  Guard(Waiting::kForRequest);
+}
+
+void CallerConnection::OnBytes(std::string_view bytes) {
+  if (bytes.empty()) {
+    Gone();
+    return;
+  }
+  inbox_.append(bytes);
+  if (!busy_) {
+    Parse();
+  } else if (inbox_.size() > kMaxPipelinedBytes) {
+    io_.PauseReading();
+  }
+}
+
+void CallerConnection::Parse() {
+  if (inbox_.empty()) {
+    return;
+  }
+  const CallerLimits& limits = listener_.limits();
+  if (!parser_) {
+    parser_.emplace(MessageKind::kRequest, limits.max_header_bytes, limits.max_body_bytes);
+    first_byte_at_ = BootTimeNow();
+    Guard(Waiting::kForHead);
+  }
+  inbox_.erase(0, parser_->Put(inbox_));
+  if (parser_->failed()) {
+    RefuseMalformed();
+    return;
+  }
+  if (!parser_->head_complete()) {
+    return;
+  }
+  if (waiting_ == Waiting::kForHead) {
+    Guard(Waiting::kForBody);
+    if (SameFieldName(parser_->head().Field("Expect"), "100-continue") && !parser_->complete()) {
+      io_.Send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+  body_.append(parser_->TakeBody());
+  if (parser_->complete()) {
+    HandOn();
+  }
+}
+
+void CallerConnection::HandOn() {
+  CallerRequest request{parser_->head(), std::move(body_), first_byte_at_};
+  body_.clear();
+  parser_.reset();
+  if (inbox_.empty()) {
+    inbox_.shrink_to_fit();
+  }
+  busy_ = true;
+  answer_started_ = false;
+  keep_alive_ = request.head.keep_alive;
+  head_request_ = request.head.method == "HEAD";
+  Guard(Waiting::kNothing);
+  listener_.handler_(shared_from_this(), std::move(request));
+}
+
+void CallerConnection::RefuseMalformed() {
+  int status = 400;
+  if (parser_->head_too_large()) {
+    status = 431;
+  } else if (parser_->body_too_large()) {
+    status = 413;
+  }
+  busy_ = true;
+  keep_alive_ = false;
+  inbox_.clear();
+  Respond(status, {}, {}, {});
+}
+
+void CallerConnection::Respond(int status,
+                               std::string_view reason,
+                               const std::vector<HttpHeader>& fields,
+                               std::string_view body) {
+  StartAnswer(status, reason, fields, BodyFraming::kLength, body.size());
+  SendBody(body);
+  EndAnswer();
+}
+
+void CallerConnection::StartAnswer(int status,
+                                   std::string_view reason,
+                                   const std::vector<HttpHeader>& fields,
+                                   BodyFraming framing,
+                                   std::uint64_t length) {
+  answer_started_ = true;
+  chunked_ = framing == BodyFraming::kChunked;
+  closing_ = !keep_alive_ || listener_.closing();
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head.append(reason.empty() ? DefaultReason(status) : reason).append("\r\n");
+  for (const auto& [name, value] : fields) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (chunked_) {
+    head.append("Transfer-Encoding: chunked\r\n");
+  } else if (status != 204 && status != 304) {
+    head.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+  }
+  head.append(closing_ ? "Connection: close\r\n\r\n" : "\r\n");
+  io_.Send(head);
+}
+
+void CallerConnection::SendBody(std::string_view bytes) {
+  if (bytes.empty() || head_request_) {
+    return;
+  }
+  if (!chunked_) {
+    io_.Send(bytes);
+    return;
+  }
+  std::string chunk = Hex(bytes.size());
+  chunk.append("\r\n").append(bytes).append("\r\n");
+  io_.Send(chunk);
+}
+
+void CallerConnection::EndAnswer() {
+  if (chunked_ && !head_request_) {
+    io_.Send("0\r\n\r\n");
+  }
+  on_gone_ = nullptr;
+  busy_ = false;
+  chunked_ = false;
+  if (closing_) {
+    timer_.cancel();
+    io_.CloseWhenSent();
+    return;
+  }
+  NextRequest();
+}
+
+void CallerConnection::NextRequest() {
+  Guard(Waiting::kForRequest);
+  io_.ResumeReading();
+  if (!inbox_.empty()) {
+    asio::post(listener_.io(), [self = shared_from_this()] {
+      if (!self->busy_ && self->io_.open()) {
+        self->Parse();
+      }
+    });
+  }
+}
+
+void CallerConnection::Abort() {
+  on_gone_ = nullptr;
+  busy_ = false;
+  timer_.cancel();
+  io_.Reset();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!busy_ && !parser_) {
+    timer_.cancel();
+    io_.CloseWhenSent();
+  }
+}
+
+void CallerConnection::Gone() {
+  busy_ = false;
+  timer_.cancel();
+  io_.Close();
+  if (on_gone_) {
+    std::exchange(on_gone_, nullptr)();
+  }
+}
+
+// The timer is started once and looks at the time when it fires, so that a request costs no change
+// of timers.
+void CallerConnection::Guard(Waiting waiting) {
+  waiting_ = waiting;
+  const CallerLimits& limits = listener_.limits();
+  Duration limit = limits.idle_timeout;
+  if (waiting == Waiting::kForHead) {
+    limit = limits.header_timeout;
+  } else if (waiting == Waiting::kForBody) {
+    limit = kBodyTimeout;
+  }
+  guard_until_ = BootTimeNow() + limit;
+  if (!timer_runs_) {
+    OnTimer();
+  }
+}
+
+void CallerConnection::OnTimer() {
+  timer_runs_ = false;
+  if (!io_.open()) {
+    return;
+  }
+  const TimePoint now = BootTimeNow();
+  if (waiting_ != Waiting::kNothing && guard_until_ <= now) {
+    if (waiting_ == Waiting::kForRequest) {
+      io_.CloseWhenSent();
+    } else {
+      busy_ = true;
+      keep_alive_ = false;
+      Respond(408, {}, {}, {});
+    }
+    return;
+  }
+  timer_runs_ = true;
+  constexpr Duration kBusyCheck = seconds(1);
+  timer_.expires_after(waiting_ == Waiting::kNothing ? kBusyCheck : guard_until_ - now);
+  timer_.async_wait([self = weak_from_this()](const auto& error) {
+    const auto connection = self.lock();
+    if (connection && !error) {
+      connection->OnTimer();
+    }
+  });
+}
+
+HttpListener::HttpListener(asio::io_context& io, const std::string& address, Handler handler)
+    : io_(io), acceptor_(io), retry_(io), handler_(std::move(handler)) {
+  const auto [host, port] = SplitAddress(address);
+  const tcp::endpoint endpoint(asio::ip::make_address(host), port);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(1024);
+  Accept();
+}
+
+void HttpListener::Accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    if (error) {
+      PartLogger("http")->warn("Cannot accept a connection: {}.", error.message());
+      retry_.expires_after(kAcceptRetry);
+      retry_.async_wait([this](const auto& cancelled) {
+        if (!cancelled) {
+          Accept();
+        }
+      });
+      return;
+    }
+    const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+    connections_[connection.get()] = connection;
+    connection->Start();
+    if (connections_.size() > 64 && connections_.size() % 32 == 0) {
+      for (auto entry = connections_.begin(); entry != connections_.end();) {
+        entry = entry->second.expired() ? connections_.erase(entry) : ++entry;
+      }
+    }
+    Accept();
+  });
+}
+
+void HttpListener::Close() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  CloseIdle();
+}
+
+void HttpListener::CloseIdle() {
+  for (const auto& [key, weak] : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->CloseIfIdle();
+    }
+  }
+}
+
+std::size_t HttpListener::busy() const {
+  std::size_t count = 0;
+  for (const auto& [key, weak] : connections_) {
+    const auto connection = weak.lock();
+    count += connection && connection->busy() ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/gateway.cc
@@ -0,0 +1,265 @@
+#include "gateway.h"
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+#include <utility>
+
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+
+#include "log.h"
+
+namespace chiverail {
+namespace {
+
+// Digests to a large fleet go out more rarely, so that their number grows with the instances and
+// not with their square: this many are sent a second at most.
+constexpr double kDigestsPerSecond = 80;
+
+// Every so many digests carry the known addresses, by which instances find each other.
+constexpr std::uint64_t kAddressesEvery = 8;
+
+// How often a leaving process looks whether its requests have ended.
+constexpr Duration kLeavingCheck = milliseconds(50);
+
+RelayLimits RelayLimitsOf(const GatewaySettings& settings) {
+  RelayLimits limits;
+  limits.key_age = settings.KeyAge();
+  limits.retry_ratio = settings.retry_ratio;
+  limits.retry_slack = settings.retry_slack;
+  limits.cold_overage = settings.cold_overage;
+  limits.cold_slack = settings.cold_slack;
+  return limits;
+}
+
+DecisionLog::Limits LogLimitsOf(const GatewaySettings& settings) {
+  DecisionLog::Limits limits;
+  limits.lines_per_second =
+      settings.log_level == "off" ? 0 : static_cast<double>(settings.log_lines_per_second);
+  return limits;
+}
+
+std::uint64_t UnixMilliseconds() {
+  timespec time{};
+  clock_gettime(CLOCK_REALTIME, &time);
+  return static_cast<std::uint64_t>(time.tv_sec) * 1000 +
+         static_cast<std::uint64_t>(time.tv_nsec) / 1'000'000;
+}
+
+std::string_view PathOf(const CallerRequest& request) {
+  const std::string_view target = request.head.target;
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+Gateway::Gateway(GatewaySettings settings,
+                 GatewayInterface interface,
+                 std::function<GatewaySettings()> reload)
+    : settings_(std::move(settings)),
+      interface_(std::move(interface)),
+      reload_(std::move(reload)),
+      io_(1),
+      log_(io_, settings_.instance_id, STDOUT_FILENO, LogLimitsOf(settings_)),
+      relay_(io_,
+             settings_.instance_id,
+             settings_.data_centre,
+             interface_.names,
+             RelayLimitsOf(settings_),
+             log_,
+             metrics_),
+      digest_timer_(io_),
+      leaving_timer_(io_),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      start_id_(UnixMilliseconds()) {}
+
+int Gateway::Run() {
+  Listen();
+  log_.Write(Decision::kStart, {{"address", settings_.caller_address},
+                                {"data_centre", settings_.data_centre},
+                                {"seeds", settings_.seeds}});
+  for (const std::string& address : settings_.SeedAddresses()) {
+    relay_.instances().AddAddress(address);
+  }
+  SendDigest();
+  WaitForSignal();
+  io_.run();
+  log_.Write(Decision::kStop, {{"exit_code", exit_code_}});
+  log_.Flush();
+  return exit_code_;
+}
+
+void Gateway::Listen() {
+  using Caller = std::shared_ptr<CallerConnection>;
+  callers_ = std::make_unique<HttpListener>(
+      io_, settings_.caller_address, [this](const Caller& caller, CallerRequest request) {
+        callers_->SetLimits(relay_.table() ? relay_.table()->config().limits : CallerLimits{});
+        relay_.Handle(caller, std::move(request));
+      });
+  ready_listener_ = std::make_unique<HttpListener>(
+      io_, settings_.ready_address,
+      [this](const Caller& caller, const CallerRequest& request) { AnswerReady(caller, request); });
+  directory_ = std::make_unique<HttpListener>(
+      io_, settings_.directory_address, [this](const Caller& caller, const CallerRequest& request) {
+        AnswerDirectory(caller, request);
+      });
+  if (!settings_.metrics_address.empty()) {
+    metrics_listener_ = std::make_unique<HttpListener>(
+        io_, settings_.metrics_address,
+        [this](const Caller& caller, const CallerRequest&) { AnswerMetrics(caller); });
+  }
+  peers_ = std::make_unique<PeerDatagrams>(
+      io_, settings_.peer_address,
+      [this](const InstanceDigest& digest, const std::string& from) { OnDigest(digest, from); });
+}
+
+void Gateway::AnswerReady(const std::shared_ptr<CallerConnection>& caller,
+                          const CallerRequest& request) {
+  if (PathOf(request) != interface_.ready_path) {
+    caller->Respond(404, {}, {}, {});
+    return;
+  }
+  const bool ready = ready_ && !leaving_ && relay_.Accepting(BootTimeNow());
+  caller->Respond(ready ? 200 : 503, {}, {}, {});
+}
+
+void Gateway::AnswerDirectory(const std::shared_ptr<CallerConnection>& caller,
+                              const CallerRequest& request) {
+  if (PathOf(request) != interface_.directory_path) {
+    caller->Respond(404, {}, {}, {});
+    return;
+  }
+  const auto addresses = relay_.instances().CallerAddresses(OwnDigest(false), BootTimeNow());
+  if (addresses.empty()) {
+    caller->Respond(503, {}, {}, {});
+    return;
+  }
+  caller->Respond(200, {}, {{"Content-Type", "application/json"}},
+                  interface_.directory_body(addresses, settings_.directory_ttl_s));
+}
+
+void Gateway::AnswerMetrics(const std::shared_ptr<CallerConnection>& caller) {
+  caller->Respond(200, {}, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.Render());
+}
+
+void Gateway::OnDigest(const InstanceDigest& digest, const std::string& from) {
+  if (digest.instance == settings_.instance_id) {
+    return;
+  }
+  const TimePoint now = BootTimeNow();
+  const std::size_t known = relay_.instances().addresses().size();
+  relay_.instances().OnDigest(digest, from, now);
+  relay_.UpdatePeerLoads(now);
+  if (relay_.instances().addresses().size() > known && !leaving_) {
+    // A newcomer learns of the others at once.
+    ++sequence_;
+    peers_->Send(OwnDigest(true), {from});
+  }
+}
+
+InstanceDigest Gateway::OwnDigest(bool with_addresses) {
+  InstanceDigest digest;
+  digest.instance = settings_.instance_id;
+  digest.start_id = start_id_;
+  digest.sequence = sequence_;
+  digest.caller_address = settings_.caller_address;
+  digest.accepting = ready_ && relay_.Accepting(BootTimeNow());
+  digest.leaving = leaving_;
+  digest.loads = relay_.OwnLoads();
+  if (with_addresses) {
+    const auto& addresses = relay_.instances().addresses();
+    digest.instances.assign(addresses.begin(), addresses.end());
+  }
+  return digest;
+}
+
+void Gateway::SendDigest() {
+  const TimePoint now = BootTimeNow();
+  relay_.Expire(now);
+  const bool with_addresses = sequence_++ % kAddressesEvery == 0;
+  peers_->Send(OwnDigest(with_addresses), relay_.instances().addresses());
+  ScheduleDigest();
+}
+
+Duration Gateway::DigestPeriod() const {
+  const auto& addresses = relay_.instances().addresses();
+  const Duration spread = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(static_cast<double>(addresses.size()) / kDigestsPerSecond));
+  return std::max(settings_.digest_period, spread);
+}
+
+void Gateway::ScheduleDigest() {
+  digest_timer_.expires_after(DigestPeriod());
+  digest_timer_.async_wait([this](const auto& cancelled) {
+    if (!cancelled) {
+      SendDigest();
+    }
+  });
+}
+
+void Gateway::WaitForSignal() {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      Reload();
+    } else {
+      StartLeaving();
+    }
+    WaitForSignal();
+  });
+}
+
+// Limits and seeds apply at once; addresses only at the next start, as callers hold connections.
+void Gateway::Reload() {
+  try {
+    const GatewaySettings settings = reload_();
+    for (const std::string& address : settings.SeedAddresses()) {
+      relay_.instances().AddAddress(address);
+    }
+    relay_.SetLimits(RelayLimitsOf(settings));
+    log_.Write(Decision::kReload, {{"outcome", "applied"}});
+  } catch (const std::exception& error) {
+    log_.Write(Decision::kReload, {{"outcome", "kept the former settings"}, {"why", error.what()}});
+  }
+}
+
+void Gateway::StartLeaving() {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  leaving_since_ = BootTimeNow();
+  log_.Write(Decision::kStop, {{"outcome", "leaving"}, {"open_requests", callers_->busy()}});
+  callers_->StartClosing();
+  digest_timer_.cancel();
+  SendDigest();
+  if (on_leaving_) {
+    on_leaving_();
+  }
+  CheckLeaving();
+}
+
+void Gateway::CheckLeaving() {
+  const Duration passed = BootTimeNow() - leaving_since_;
+  const bool accepting = passed < settings_.drain_accept;
+  if (!accepting) {
+    callers_->Close();
+    if (callers_->busy() == 0 || passed >= settings_.DrainDeadline()) {
+      log_.Write(Decision::kStop, {{"outcome", "left"}, {"cut_requests", callers_->busy()}});
+      io_.stop();
+      return;
+    }
+  }
+  leaving_timer_.expires_after(kLeavingCheck);
+  leaving_timer_.async_wait([this](const auto& cancelled) {
+    if (!cancelled) {
+      CheckLeaving();
+    }
+  });
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/gateway_settings.cc
@@ -0,0 +1,258 @@
+#include "gateway_settings.h"
+
+#include <sstream>
+#include <variant>
+
+#include "http_types.h"
+#include "json_fields.h"
+
+namespace chiverail {
+namespace {
+
+// Form of a text setting.
+enum class TextForm : std::uint8_t { kIdentifier, kAddress, kAddressList, kLogLevel };
+constexpr std::array<EnumName<TextForm>, 4> kTextFormNames{{
+    {TextForm::kIdentifier, "identifier"},
+    {TextForm::kAddress, "address `ip:port`"},
+    {TextForm::kAddressList, "addresses `ip:port`, separated by commas"},
+    {TextForm::kLogLevel, "`info` or `off`"},
+}};
+
+struct TextRow {
+  std::string GatewaySettings::*target;
+  TextForm form;
+  const char* default_value;  // null when the setting is required
+};
+
+struct DurationRow {
+  Duration GatewaySettings::*target;
+  std::int64_t min_ms;
+  std::int64_t max_ms;
+  std::int64_t default_ms;
+};
+
+struct NumberRow {
+  double GatewaySettings::*target;
+  double min;
+  double max;
+  double default_value;
+};
+
+struct CountRow {
+  std::int64_t GatewaySettings::*target;
+  std::int64_t min;
+  std::int64_t max;
+  std::int64_t default_value;
+};
+
+// Everything that is known about one setting.
+struct Row {
+  const char* key;
+  std::variant<TextRow, DurationRow, NumberRow, CountRow> setting;
+  const char* doc;
+};
+
+using S = GatewaySettings;
+
+// Part of the withdrawal time that is left for the way of a request to its upstream.
+constexpr Duration kKeyMargin = milliseconds(400);
+
+// A stopping process ends this long before it would be killed.
+constexpr Duration kStopMargin = milliseconds(500);
+
+const std::vector<Row>& Table() {
+  static const std::vector<Row> table = {
+      {"instance_id", TextRow{&S::instance_id, TextForm::kIdentifier, nullptr},
+       "Name of this instance, unique in the fleet."},
+      {"data_centre", TextRow{&S::data_centre, TextForm::kIdentifier, nullptr},
+       "Data centre of this instance."},
+      {"caller_address", TextRow{&S::caller_address, TextForm::kAddress, nullptr},
+       "Where callers' requests are served; also what they are told."},
+      {"ready_address", TextRow{&S::ready_address, TextForm::kAddress, nullptr},
+       "Where the platform asks whether this instance is ready."},
+      {"directory_address", TextRow{&S::directory_address, TextForm::kAddress, nullptr},
+       "Where callers ask which instances to use."},
+      {"metrics_address", TextRow{&S::metrics_address, TextForm::kAddress, ""},
+       "Where metrics are served in the Prometheus text format; empty for none."},
+      {"peer_address", TextRow{&S::peer_address, TextForm::kAddress, nullptr},
+       "UDP address for digests between instances; the port is the same on all of them."},
+      {"platform_address", TextRow{&S::platform_address, TextForm::kAddress, nullptr},
+       "Address of the platform's store."},
+      {"seeds", TextRow{&S::seeds, TextForm::kAddressList, ""},
+       "Instances to greet at the start; may be stale."},
+      {"log_level", TextRow{&S::log_level, TextForm::kLogLevel, "info"},
+       "Whether the decision log is written."},
+      {"key_withdrawal_ms", DurationRow{&S::key_withdrawal, 1000, 600'000, 5000},
+       "Time after which a withdrawn key must no longer be served anywhere, cut off or not."},
+      {"list_period_ms", DurationRow{&S::list_period, 50, 60'000, 700},
+       "Pause between two reads of the changed upstreams."},
+      {"config_wait_ms", DurationRow{&S::config_wait, 50, 30'000, 1000},
+       "Time for which the store may hold back an answer until the configuration changes."},
+      {"digest_period_ms", DurationRow{&S::digest_period, 50, 10'000, 250},
+       "Time between two digests to the other instances."},
+      {"drain_accept_ms", DurationRow{&S::drain_accept, 0, 600'000, 2500},
+       "Time for which a stopping instance still accepts connections."},
+      {"stop_grace_s", NumberRow{&S::stop_grace_s, 1, 3600, 8},
+       "Seconds after SIGTERM at which the process is killed; it ends a little earlier."},
+      {"directory_ttl_s", CountRow{&S::directory_ttl_s, 1, 3600, 2},
+       "Seconds for which callers may keep an answer of the directory."},
+      {"retry_ratio", NumberRow{&S::retry_ratio, 0, 1, 0.2},
+       "Further sends for each request, over all instances."},
+      {"retry_slack", NumberRow{&S::retry_slack, 0, 1e6, 50},
+       "Further sends of all instances beyond the ratio."},
+      {"cold_overage", NumberRow{&S::cold_overage, 0, 100, 1.0},
+       "Multiple of a service's cold rate that all instances may send to a cold upstream."},
+      {"cold_slack", NumberRow{&S::cold_slack, 0, 1e6, 0}, "Requests a second beyond that."},
+      {"log_lines_per_second", CountRow{&S::log_lines_per_second, 1, 100'000, 100},
+       "Lines of each kind in the decision log before further ones are left out and counted."},
+  };
+  return table;
+}
+
+bool IsAddressList(const std::string& text) {
+  std::istringstream items(text);
+  std::string item;
+  while (std::getline(items, item, ',')) {
+    if (!IsSocketAddress(item)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::string Markdown(const TextRow& row) {
+  const std::string standard = row.default_value == nullptr ? "required"
+                               : *row.default_value == '\0'
+                                   ? "empty"
+                                   : "`" + std::string(row.default_value) + "`";
+  return std::string(NameOf(kTextFormNames, row.form)) + " | - | " + standard + " | -";
+}
+
+std::string Markdown(const DurationRow& row) {
+  std::ostringstream out;
+  out << "duration | " << row.min_ms << " to " << row.max_ms << " | " << row.default_ms << " | ms";
+  return out.str();
+}
+
+template <typename NumericRow>
+std::string Markdown(const NumericRow& row) {
+  std::ostringstream out;
+  out << "number | " << row.min << " to " << row.max << " | " << row.default_value << " | -";
+  return out.str();
+}
+
+// Reads the value of one row into the settings.
+class Reader {
+ public:
+  Reader(JsonFields& fields, GatewaySettings& settings, const char* key)
+      : fields_(fields), settings_(settings), key_(key) {}
+
+  void operator()(const TextRow& row) const {
+    const Presence presence =
+        row.default_value == nullptr ? Presence::kRequired : Presence::kOptional;
+    std::string& target = settings_.*row.target;
+    switch (row.form) {
+      case TextForm::kIdentifier:
+        fields_.Identifier(key_, presence, target);
+        break;
+      case TextForm::kAddress:
+        fields_.Address(key_, presence, target);
+        break;
+      case TextForm::kAddressList:
+        fields_.Text(key_, presence, target);
+        if (!IsAddressList(target)) {
+          fields_.Fault(key_, "must be addresses ip:port, separated by commas");
+        }
+        break;
+      case TextForm::kLogLevel:
+        fields_.Text(key_, presence, target);
+        if (target != "info" && target != "off") {
+          fields_.Fault(key_, "must be info or off");
+        }
+        break;
+    }
+  }
+  void operator()(const DurationRow& row) const {
+    fields_.Milliseconds(key_, Presence::kOptional, row.min_ms, row.max_ms, settings_.*row.target);
+  }
+  void operator()(const NumberRow& row) const {
+    fields_.Number(key_, Presence::kOptional, row.min, row.max, settings_.*row.target);
+  }
+  void operator()(const CountRow& row) const {
+    fields_.Integer(key_, Presence::kOptional, row.min, row.max, settings_.*row.target);
+  }
+
+ private:
+  JsonFields& fields_;
+  GatewaySettings& settings_;
+  const char* key_;
+};
+
+}  // namespace
+
+GatewaySettings::GatewaySettings() {
+  for (const Row& row : Table()) {
+    if (const auto* text = std::get_if<TextRow>(&row.setting)) {
+      this->*text->target = text->default_value == nullptr ? "" : text->default_value;
+    } else if (const auto* duration = std::get_if<DurationRow>(&row.setting)) {
+      this->*duration->target = milliseconds(duration->default_ms);
+    } else if (const auto* number = std::get_if<NumberRow>(&row.setting)) {
+      this->*number->target = number->default_value;
+    } else if (const auto* count = std::get_if<CountRow>(&row.setting)) {
+      this->*count->target = count->default_value;
+    }
+  }
+}
+
+Duration GatewaySettings::KeyAge() const {
+  return key_withdrawal - kKeyMargin;
+}
+
+Duration GatewaySettings::DrainDeadline() const {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(stop_grace_s)) -
+         kStopMargin;
+}
+
+std::vector<std::string> GatewaySettings::SeedAddresses() const {
+  const std::string port = peer_address.substr(peer_address.find(':'));
+  std::vector<std::string> addresses;
+  std::istringstream items(seeds);
+  std::string item;
+  while (std::getline(items, item, ',')) {
+    addresses.push_back(item.substr(0, item.find(':')) + port);
+  }
+  return addresses;
+}
+
+GatewaySettings ParseGatewaySettings(const nlohmann::json& document) {
+  GatewaySettings settings;
+  std::vector<JsonFault> faults;
+  JsonFields fields(document, "", faults);
+  for (const Row& row : Table()) {
+    std::visit(Reader(fields, settings, row.key), row.setting);
+  }
+  fields.Finish();
+  if (!faults.empty()) {
+    throw InvalidDocument(std::move(faults));
+  }
+  return settings;
+}
+
+std::string GatewaySettingsMarkdown() {
+  std::ostringstream out;
+  out << "# Settings of chiverail_gateway\n\n"
+         "The gateway reads its settings from a JSON object, given by `--settings FILE`. Unknown "
+         "keys and values outside\ntheir range are refused, with all faults listed at once. This "
+         "page is printed from the table in\n`src/gateway_settings.cc`, and a test keeps the two "
+         "equal.\n\n"
+         "| key | type | range | default | unit | meaning |\n"
+         "| --- | --- | --- | --- | --- | --- |\n";
+  for (const Row& row : Table()) {
+    out << "| `" << row.key << "` | "
+        << std::visit([](const auto& setting) { return Markdown(setting); }, row.setting) << " | "
+        << row.doc << " |\n";
+  }
+  return out.str();
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/gateway_settings.h
@@ -0,0 +1,64 @@
+#ifndef CHIVERAIL_GATEWAY_SETTINGS_H_
+#define CHIVERAIL_GATEWAY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "types.h"
+
+namespace chiverail {
+
+// Settings of one gateway process. Ranges, defaults and meanings stand in the table in
+// gateway_settings.cc, from which docs/gateway-settings.md is printed.
+struct GatewaySettings {
+  // Fills in every default; required members stay empty.
+  GatewaySettings();
+
+  InstanceId instance_id;
+  DataCentreId data_centre;
+  std::string caller_address;
+  std::string ready_address;
+  std::string directory_address;
+  std::string metrics_address;  // empty: no metrics are served
+  std::string peer_address;
+  std::string platform_address;
+  std::string seeds;  // comma-separated "ip:port"
+  std::string log_level;
+
+  Duration key_withdrawal{};
+  Duration list_period{};
+  Duration config_wait{};
+  Duration digest_period{};
+  Duration drain_accept{};
+  std::int64_t directory_ttl_s = 0;
+
+  double retry_ratio = 0;
+  double retry_slack = 0;
+  double cold_overage = 0;
+  double cold_slack = 0;
+  double stop_grace_s = 0;
+  std::int64_t log_lines_per_second = 0;
+
+  // Age of the configuration up to which keyed requests are served.
+  Duration KeyAge() const;
+
+  // Time after which a stopping instance cuts the requests that still run.
+  Duration DrainDeadline() const;
+
+  // Message addresses of the seeds: their hosts with this instance's own peer port, which is the
+  // same on all instances.
+  std::vector<std::string> SeedAddresses() const;
+};
+
+// Parses and checks settings. Throws InvalidDocument with every fault found.
+GatewaySettings ParseGatewaySettings(const nlohmann::json& document);
+
+// The table of settings as the Markdown page docs/gateway-settings.md.
+std::string GatewaySettingsMarkdown();
+
+}  // namespace chiverail
+
+#endif  // CHIVERAIL_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/instance_table.cc
@@ -0,0 +1,94 @@
+#include "instance_table.h"
+
+namespace chiverail {
+namespace {
+
+// An address that has been silent for this long is forgotten; instances write their address to the
+// platform at each start, so a replacement is learnt anew.
+constexpr Duration kForgetAfter = seconds(90);
+
+}  // namespace
+
+void InstanceTable::AddAddress(const std::string& address) {
+  addresses_.insert(address);
+}
+
+bool InstanceTable::OnDigest(const InstanceDigest& digest,
+                             const std::string& address,
+                             TimePoint now) {
+  addresses_.insert(address);
+  address_heard_at_[address] = now;
+  for (const std::string& other : digest.instances) {
+    addresses_.insert(other);
+  }
+  KnownInstance& known = instances_[digest.instance];
+  const bool same_run = known.digest.start_id == digest.start_id;
+  // Start ids come from a clock that may be set back between two runs, so they only decide while
+  // datagrams of the earlier run can still be on their way.
+  const bool older =
+      same_run ? digest.sequence <= known.digest.sequence
+               : digest.start_id < known.digest.start_id && now < known.heard_at + kSilenceLimit;
+  if (known.heard_at != TimePoint{} && older) {
+    return false;
+  }
+  known.digest = digest;
+  known.digest.instances.clear();
+  known.message_address = address;
+  known.heard_at = now;
+  return true;
+}
+
+void InstanceTable::ForgetSilent(TimePoint now) {
+  for (auto entry = instances_.begin(); entry != instances_.end();) {
+    entry = entry->second.heard_at + kForgetAfter < now ? instances_.erase(entry) : ++entry;
+  }
+  for (auto entry = address_heard_at_.begin(); entry != address_heard_at_.end();) {
+    if (entry->second + kForgetAfter < now) {
+      addresses_.erase(entry->first);
+      entry = address_heard_at_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+std::vector<const KnownInstance*> InstanceTable::Heard(TimePoint now) const {
+  std::vector<const KnownInstance*> heard;
+  for (const auto& [id, known] : instances_) {
+    if (now < known.heard_at + kSilenceLimit) {
+      heard.push_back(&known);
+    }
+  }
+  return heard;
+}
+
+std::vector<std::string> InstanceTable::CallerAddresses(const InstanceDigest& self,
+                                                        TimePoint now) const {
+  std::vector<std::string> accepting;
+  std::vector<std::string> staying;
+  const auto add = [&](const InstanceDigest& digest) {
+    if (!digest.leaving && !digest.caller_address.empty()) {
+      staying.push_back(digest.caller_address);
+      if (digest.accepting) {
+        accepting.push_back(digest.caller_address);
+      }
+    }
+  };
+  add(self);
+  for (const KnownInstance* known : Heard(now)) {
+    add(known->digest);
+  }
+  return accepting.empty() ? staying : accepting;
+}
+
+std::map<std::uint32_t, std::uint32_t> InstanceTable::Loads(TimePoint now) const {
+  std::map<std::uint32_t, std::uint32_t> loads;
+  for (const KnownInstance* known : Heard(now)) {
+    for (const UpstreamLoad& load : known->digest.loads) {
+      loads[load.tag] += load.requests;
+    }
+  }
+  return loads;
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/relay.h
@@ -0,0 +1,113 @@
+#ifndef CHIVERAIL_RELAY_H_
+#define CHIVERAIL_RELAY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <boost/asio/io_context.hpp>
+
+#include "caller_connection.h"
+#include "decision_log.h"
+#include "header_names.h"
+#include "instance_table.h"
+#include "metrics.h"
+#include "retry_budget.h"
+#include "route_table.h"
+#include "upstream_choice.h"
+#include "upstream_connection.h"
+#include "upstream_set.h"
+
+namespace chiverail {
+
+// Bounds that the relay keeps; the settings give them.
+struct RelayLimits {
+  Duration key_age{};         // keyed requests are refused when the configuration is older
+  double retry_ratio = 0.1;   // further sends for each request
+  double retry_slack = 10;    // further sends beyond that, of all instances together
+  double cold_overage = 1.0;  // multiple of a service's cold rate that all instances may send
+  double cold_slack = 0;      // and requests a second beyond it
+};
+
+// What all requests of one instance share: the configuration in force, the upstreams, the other
+// instances and the budgets. Used by the io_context's single thread.
+class Relay {
+ public:
+  Relay(boost::asio::io_context& io,
+        InstanceId instance,
+        DataCentreId data_centre,
+        HeaderNames names,
+        RelayLimits limits,
+        DecisionLog& log,
+        Metrics& metrics);
+
+  // Serves one request of a caller.
+  void Handle(const std::shared_ptr<CallerConnection>& caller, CallerRequest request);
+
+  // Puts a configuration in force. One with a lower version than the one in force is ignored.
+  void Apply(RoutingConfig config);
+
+  // The configuration in force was still the newest one at `time`.
+  void OnConfigConfirmed(TimePoint time);
+
+  // True when a configuration is in force and young enough for keyed requests.
+  bool InTouch(TimePoint now) const;
+
+  // True when the relay can serve requests.
+  bool Accepting(TimePoint now) const { return table_ != nullptr && InTouch(now); }
+
+  // Takes the loads that other instances told; called after digests have come.
+  void UpdatePeerLoads(TimePoint now);
+
+  // Puts changed limits in force.
+  void SetLimits(const RelayLimits& limits) { limits_ = limits; }
+
+  // Regular upkeep: drops what has expired.
+  void Expire(TimePoint now);
+
+  // This instance's requests at each upstream.
+  std::vector<UpstreamLoad> OwnLoads() const;
+
+  // Limits of the choice for one service and upstream set.
+  ChoiceLimits LimitsFor(const ServiceConfig* service) const;
+
+  // Requests that this instance may send in a second to a cold upstream.
+  double ColdLimit(const ServiceConfig& service, const UpstreamId& upstream, TimePoint now) const;
+
+  boost::asio::io_context& io() { return io_; }
+  const InstanceId& instance() const { return instance_; }
+  const DataCentreId& data_centre() const { return data_centre_; }
+  const HeaderNames& names() const { return names_; }
+  const RelayLimits& limits() const { return limits_; }
+  std::shared_ptr<const RouteTable> table() const { return table_; }
+  UpstreamSet& upstreams() { return upstreams_; }
+  InstanceTable& instances() { return instances_; }
+  const InstanceTable& instances() const { return instances_; }
+  UpstreamPool& pool() { return pool_; }
+  RetryBudget& BudgetFor(const std::string& service);
+  DecisionLog& log() { return log_; }
+  Metrics& metrics() { return metrics_; }
+  std::uint64_t Random() { return random_(); }
+  TimePoint config_confirmed_at() const { return config_confirmed_at_; }
+
+ private:
+  boost::asio::io_context& io_;
+  InstanceId instance_;
+  DataCentreId data_centre_;
+  HeaderNames names_;
+  RelayLimits limits_;
+  DecisionLog& log_;
+  Metrics& metrics_;
+  std::shared_ptr<const RouteTable> table_;
+  TimePoint config_confirmed_at_{};
+  UpstreamSet upstreams_;
+  InstanceTable instances_;
+  UpstreamPool pool_;
+  std::map<std::string, RetryBudget> budgets_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace chiverail
+
+#endif  // CHIVERAIL_RELAY_H_
--- /dev/null
+++ b/src/relay_call.h
@@ -0,0 +1,116 @@
+#ifndef CHIVERAIL_RELAY_CALL_H_
+#define CHIVERAIL_RELAY_CALL_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "caller_connection.h"
+#include "event_splitter.h"
+#include "relay.h"
+
+namespace chiverail {
+
+// One request of a caller on its way: checked, placed, sent to one upstream or several in turn, and
+// answered. Kept alive by the connections and the timer that call it.
+class RelayCall : public std::enable_shared_from_this<RelayCall> {
+ public:
+  RelayCall(Relay& relay, std::shared_ptr<CallerConnection> caller, CallerRequest request);
+
+  // Checks the request and starts to place it.
+  void Start();
+
+ private:
+  // Where the request stands.
+  enum class Phase : std::uint8_t { kPlacing, kAwaitingHead, kBuffering, kRelaying, kDone };
+
+  // How an attempt at an upstream has ended, short of a whole answer.
+  enum class AttemptEnd : std::uint8_t {
+    kNotConnected,   // nothing was sent
+    kDeclined,       // the upstream says that it didn't run the request
+    kWrongUpstream,  // another upstream has the address
+    kBroken,         // cut or spoilt after the request was sent; it may have run
+    kSilent,         // no answer, or no event, within the patience
+    kFailedAnswer,   // a whole answer that says failure
+  };
+  static constexpr std::array<EnumName<AttemptEnd>, 6> kAttemptEndNames{{
+      {AttemptEnd::kNotConnected, "not_connected"},
+      {AttemptEnd::kDeclined, "declined"},
+      {AttemptEnd::kWrongUpstream, "wrong_upstream"},
+      {AttemptEnd::kBroken, "broken"},
+      {AttemptEnd::kSilent, "silent"},
+      {AttemptEnd::kFailedAnswer, "failed_answer"},
+  }};
+
+  bool Check(TimePoint now);
+  bool CheckKey(TimePoint now);
+  void ReadDeadline();
+
+  void Place();
+  void WaitForPlace(ChoiceOutcome outcome, TimePoint now);
+  void Send(KnownUpstream& upstream, TimePoint now);
+  std::string WireRequest(const KnownUpstream& upstream, TimePoint now) const;
+  bool IsCallerField(std::string_view name, std::string_view connection) const;
+
+  void OnEvent(AnswerEvent event);
+  void OnHead(AnswerHead head);
+  void OnBody(AnswerBody body);
+  void OnEnd();
+  void StartRelaying(BodyFraming framing);
+  void RelayBody(std::string_view bytes);
+
+  // Ends the attempt and either sends the request again or answers the caller.
+  void EndAttempt(AttemptEnd end, const std::string& reason);
+  bool MaySendAgain(AttemptEnd end, TimePoint now);
+  void ReleaseUpstream(bool failed);
+  bool Repeatable() const;
+
+  void AnswerUpstreamFailure(AttemptEnd end);
+  void Refuse(int status, std::string_view reason, Duration retry_after);
+  void Finish(std::string_view outcome, int status);
+  void OnCallerGone();
+
+  void ArmTimer(TimePoint at);
+  void OnTimer();
+
+  Relay& relay_;
+  std::shared_ptr<CallerConnection> caller_;
+  CallerRequest request_;
+  std::shared_ptr<const RouteTable> table_;
+  const Route* route_ = nullptr;
+  const ServiceConfig* service_ = nullptr;
+  std::string service_name_;
+  std::string id_;
+  WorkspaceId workspace_;
+  bool keyed_ = false;
+  std::uint64_t affinity_ = 0;
+  TimePoint give_up_at_{};
+
+  Phase phase_ = Phase::kPlacing;
+  std::shared_ptr<UpstreamConnection> connection_;
+  UpstreamId upstream_id_;
+  std::set<UpstreamId> tried_;
+  int sends_ = 0;  // requests that may have reached an upstream
+  int runs_ = 0;   // of these, those that may have run
+  bool may_have_run_ = false;
+  TimePoint sent_at_{};
+  TimePoint patient_until_{};  // the attempt is given up at this time; none when zero
+  TimePoint first_byte_at_{};
+  std::optional<MessageHead> head_;
+  std::string buffer_;
+  EventSplitter events_;
+  bool events_relayed_ = false;
+  int load_at_send_ = 0;
+  std::string last_fault_;
+
+  boost::asio::steady_timer timer_;
+  TimePoint timer_at_{};
+};
+
+}  // namespace chiverail
+
+#endif  // CHIVERAIL_RELAY_CALL_H_
--- /dev/null
+++ b/src/socket_io.cc
@@ -0,0 +1,183 @@
+#include "socket_io.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <utility>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+
+namespace chiverail {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadBufferBytes = 16 * 1024;
+
+// One buffer for all sockets: bytes are handed on before the next socket is read.
+std::array<char, kReadBufferBytes>& ReadBuffer() {
+  static std::array<char, kReadBufferBytes> buffer;
+  return buffer;
+}
+
+void SetOption(tcp::socket& socket, int level, int option, int value) {
+  // The options only sharpen the detection of silent peers, so an old kernel may refuse them.
+  (void)setsockopt(socket.native_handle(), level, option, &value, sizeof value);
+}
+
+}  // namespace
+
+TimePoint BootTimeNow() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+void SetSilenceLimit(tcp::socket& socket, Duration limit) {
+  constexpr int kProbes = 2;
+  const auto limit_ms = std::chrono::duration_cast<milliseconds>(limit).count();
+  const int interval_s = std::max<int>(1, static_cast<int>(limit_ms / 1000 / (kProbes + 1)));
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit_ms));
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval_s);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval_s);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+SocketIo::SocketIo(tcp::socket socket) : socket_(std::move(socket)) {}
+
+SocketIo::~SocketIo() {
+  Close();
+}
+
+void SocketIo::Start(std::shared_ptr<void> owner, OnBytes on_bytes, OnError on_error) {
+  owner_ = owner;
+  on_bytes_ = std::move(on_bytes);
+  on_error_ = std::move(on_error);
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
+  socket_.set_option(tcp::no_delay(true), ignored);
+  WaitReadable();
+}
+
+void SocketIo::WaitReadable() {
+  if (waiting_to_read_ || paused_ || !socket_.is_open()) {
+    return;
+  }
+  waiting_to_read_ = true;
+  socket_.async_wait(tcp::socket::wait_read, [this, owner = owner_.lock()](const auto& error) {
+    waiting_to_read_ = false;
+    if (!error && socket_.is_open()) {
+      ReadAvailable();
+    }
+  });
+}
+
+void SocketIo::ReadAvailable() {
+  if (paused_) {
+    return;
+  }
+  boost::system::error_code error;
+  const std::size_t count = socket_.read_some(asio::buffer(ReadBuffer()), error);
+  if (error == asio::error::would_block) {
+    WaitReadable();
+    return;
+  }
+  if (error && error != asio::error::eof) {
+    Fail(error.message());
+    return;
+  }
+  const OnBytes on_bytes = on_bytes_;  // the callback may close this connection
+  on_bytes(std::string_view(ReadBuffer().data(), error ? 0 : count));
+  if (!error) {
+    WaitReadable();
+  }
+}
+
+void SocketIo::ResumeReading() {
+  paused_ = false;
+  WaitReadable();
+}
+
+void SocketIo::Send(std::string_view bytes) {
+  if (!socket_.is_open()) {
+    return;
+  }
+  if (unsent_.empty()) {
+    boost::system::error_code error;
+    const std::size_t count = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != asio::error::would_block) {
+      Fail(error.message());
+      return;
+    }
+    bytes.remove_prefix(error ? 0 : count);
+  }
+  unsent_.append(bytes);
+  WaitWritable();
+}
+
+void SocketIo::WaitWritable() {
+  if (unsent_.empty() || waiting_to_write_ || !socket_.is_open()) {
+    return;
+  }
+  waiting_to_write_ = true;
+  socket_.async_wait(tcp::socket::wait_write, [this, owner = owner_.lock()](const auto& error) {
+    waiting_to_write_ = false;
+    if (error || !socket_.is_open()) {
+      return;
+    }
+    std::string bytes;
+    bytes.swap(unsent_);
+    Send(bytes);
+    if (!unsent_.empty()) {
+      return;
+    }
+    if (close_when_sent_) {
+      Close();
+    } else if (on_drained_) {
+      std::exchange(on_drained_, nullptr)();
+    }
+  });
+}
+
+// A send may fail in the middle of its caller's work, so the callback runs on its own turn.
+void SocketIo::Fail(const std::string& reason) {
+  Close();
+  if (on_error_) {
+    asio::post(socket_.get_executor(),
+               [owner = owner_.lock(), on_error = std::exchange(on_error_, nullptr), reason] {
+                 on_error(reason);
+               });
+  }
+}
+
+void SocketIo::Close() {
+  boost::system::error_code ignored;
+  unsent_.clear();
+  socket_.close(ignored);
+}
+
+void SocketIo::CloseWhenSent() {
+  close_when_sent_ = true;
+  if (unsent_.empty()) {
+    Close();
+  }
+}
+
+void SocketIo::Reset() {
+  boost::system::error_code ignored;
+  if (socket_.is_open()) {
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  Close();
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/upstream_choice.cc
@@ -0,0 +1,164 @@
+#include "upstream_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace chiverail {
+namespace {
+
+// Margin of the window in which sends to a cold upstream count: those of two adjacent windows can
+// arrive within the same second.
+constexpr Duration kColdWindow = milliseconds(1150);
+
+// A request in another data centre costs traffic between data centres; a same-sized difference in
+// load still goes first.
+constexpr double kOtherDataCentreLoad = 0.5;
+
+// From this failure rate on, affinity no longer holds a request at an upstream.
+constexpr double kFailingRate = 0.25;
+
+std::uint64_t Rank(std::uint64_t affinity, const KnownUpstream& upstream) {
+  return XXH64(upstream.entry.id.data(), upstream.entry.id.size(), affinity);
+}
+
+int TotalLoad(const KnownUpstream& upstream) {
+  return upstream.own_load + upstream.peer_load;
+}
+
+// Sends within the window; forgets older ones.
+std::size_t RecentColdSends(KnownUpstream& upstream, TimePoint now) {
+  while (!upstream.cold_sends.empty() && upstream.cold_sends.front() + kColdWindow <= now) {
+    upstream.cold_sends.pop_front();
+  }
+  return upstream.cold_sends.size();
+}
+
+bool MayTake(KnownUpstream& upstream, const ChoiceQuery& query, TimePoint now) {
+  if (upstream.cold_until <= now) {
+    return true;
+  }
+  const double limit = query.cold_limit ? query.cold_limit(upstream) : 0;
+  return static_cast<double>(RecentColdSends(upstream, now)) + 1 <= limit;
+}
+
+// Load as a share of slots, raised by failures, so that an upstream that fails half of its answers
+// weighs twice as full.
+double Weight(const KnownUpstream& upstream, const ChoiceQuery& query, TimePoint now) {
+  const double other = upstream.entry.data_centre == query.data_centre ? 0 : kOtherDataCentreLoad;
+  const double sound = std::max(0.05, 1 - FailureRate(upstream, now));
+  return (TotalLoad(upstream) + 1 + other) / std::max(1, upstream.entry.slots) / (sound * sound);
+}
+
+KnownUpstream* LeastLoaded(const std::vector<KnownUpstream*>& candidates,
+                           const ChoiceQuery& query,
+                           TimePoint now) {
+  KnownUpstream* best = nullptr;
+  double best_weight = 0;
+  const std::size_t start = candidates.empty() ? 0 : query.random % candidates.size();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    KnownUpstream* candidate = candidates[(start + i) % candidates.size()];
+    const double weight = Weight(*candidate, query, now);
+    if (best == nullptr || weight < best_weight) {
+      best = candidate;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+KnownUpstream* ByAffinity(const std::vector<KnownUpstream*>& candidates,
+                          const ChoiceQuery& query,
+                          double load_limit,
+                          TimePoint now) {
+  KnownUpstream* best = nullptr;
+  std::uint64_t best_rank = 0;
+  for (KnownUpstream* candidate : candidates) {
+    const bool fits =
+        TotalLoad(*candidate) + 1 <= load_limit && FailureRate(*candidate, now) < kFailingRate;
+    const std::uint64_t rank = Rank(query.affinity, *candidate);
+    if (fits && (best == nullptr || rank > best_rank)) {
+      best = candidate;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::uint64_t AffinityOf(const std::vector<PromptPart>& parts) {
+  if (parts.size() < 2) {
+    return 0;
+  }
+  const std::string& id = parts[parts.size() - 2].id;
+  const std::uint64_t hash = XXH64(id.data(), id.size(), 1);
+  return hash == 0 ? 1 : hash;
+}
+
+Choice ChooseUpstream(UpstreamSet& upstreams,
+                      const ChoiceQuery& query,
+                      const ChoiceLimits& limits,
+                      TimePoint now) {
+  const std::vector<KnownUpstream*> usable = upstreams.Usable(query.service, now);
+  Choice choice;
+  choice.usable = usable.size();
+  std::vector<KnownUpstream*> candidates;
+  double total = 0;
+  bool cold_only = false;
+  for (KnownUpstream* upstream : usable) {
+    total += TotalLoad(*upstream);
+    if (query.tried != nullptr && query.tried->count(upstream->entry.id) > 0) {
+      continue;
+    }
+    choice.outcome = ChoiceOutcome::kAllFull;
+    if (!MayTake(*upstream, query, now)) {
+      cold_only = true;
+    } else if (TotalLoad(*upstream) + 1 <=
+               std::max(1.0, limits.slot_share * upstream->entry.slots)) {
+      candidates.push_back(upstream);
+    }
+  }
+  if (candidates.empty()) {
+    if (cold_only) {
+      choice.outcome = ChoiceOutcome::kAllCold;
+    }
+    return choice;
+  }
+  if (query.affinity != 0) {
+    const double mean = total / static_cast<double>(usable.size());
+    choice.upstream =
+        ByAffinity(candidates, query, limits.load_multiple * mean + limits.load_floor, now);
+  }
+  if (choice.upstream == nullptr) {
+    choice.upstream = LeastLoaded(candidates, query, now);
+  }
+  choice.outcome = ChoiceOutcome::kChosen;
+  return choice;
+}
+
+void NoteSend(KnownUpstream& upstream, TimePoint now) {
+  if (now < upstream.cold_until) {
+    upstream.cold_sends.push_back(now);
+  }
+}
+
+double ColdShare(double fleet_limit,
+                 const std::vector<InstanceId>& instances,
+                 const InstanceId& self,
+                 const UpstreamId& upstream) {
+  const double share = std::floor(fleet_limit / std::max<std::size_t>(1, instances.size()));
+  if (share >= 1) {
+    return share;
+  }
+  const auto rank = [&upstream](const InstanceId& instance) {
+    return XXH64(instance.data(), instance.size(), UpstreamTag(upstream));
+  };
+  const auto before = std::count_if(
+      instances.begin(), instances.end(),
+      [&](const InstanceId& other) { return other != self && rank(other) > rank(self); });
+  return static_cast<double>(before) < std::floor(fleet_limit) ? 1 : 0;
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/upstream_choice.h
@@ -0,0 +1,85 @@
+#ifndef CHIVERAIL_UPSTREAM_CHOICE_H_
+#define CHIVERAIL_UPSTREAM_CHOICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "types.h"
+#include "upstream_set.h"
+
+namespace chiverail {
+
+// One part of a prompt. Requests share parts; an engine that has read a part after the same parts
+// before it need not read it again.
+struct PromptPart {
+  std::string id;
+  std::uint32_t tokens = 0;
+};
+
+// What the choice of an upstream needs to know of a request.
+struct ChoiceQuery {
+  std::string service;
+  DataCentreId data_centre;    // of this instance
+  std::uint64_t affinity = 0;  // requests with equal values share cached parts; 0 for none
+  std::uint64_t random = 0;    // breaks ties
+  const std::set<UpstreamId>* tried = nullptr;  // upstreams that the request has been sent to
+  // Requests that this instance may send in a second to a cold upstream; none where it is empty.
+  std::function<double(const KnownUpstream&)> cold_limit;
+};
+
+// Limits of the choice.
+struct ChoiceLimits {
+  double load_multiple = 1.5;  // affinity yields when an engine holds this many times the mean
+  double load_floor = 3;       // plus this many requests, as means are small on small fleets
+  double slot_share = 0.85;    // share of an upstream's slots that new requests may take
+};
+
+// Why there is no upstream to send to.
+enum class ChoiceOutcome : std::uint8_t { kChosen, kNoUpstream, kAllFull, kAllCold };
+inline constexpr std::array<EnumName<ChoiceOutcome>, 4> kChoiceOutcomeNames{{
+    {ChoiceOutcome::kChosen, "chosen"},
+    {ChoiceOutcome::kNoUpstream, "no_upstream"},
+    {ChoiceOutcome::kAllFull, "all_full"},
+    {ChoiceOutcome::kAllCold, "all_cold"},
+}};
+
+struct Choice {
+  ChoiceOutcome outcome = ChoiceOutcome::kNoUpstream;
+  KnownUpstream* upstream = nullptr;
+  std::size_t usable = 0;  // upstreams that were weighed
+};
+
+// Identity of the shared part of a prompt by which its requests are placed: the last part that
+// belongs to more than one request. The parts before it are short and on every engine. Returns 0
+// for a prompt without shared parts.
+std::uint64_t AffinityOf(const std::vector<PromptPart>& parts);
+
+// Chooses the upstream of one request.
+//
+// Requests with an affinity go to the engine that rendezvous hashing names for it, so that all
+// instances agree without messages; when that one holds more than its share, the next in order is
+// taken, which answers a part that suddenly draws much of the traffic. Others go to the least
+// loaded upstream. Upstreams that fail part of their answers weigh as if they were fuller.
+Choice ChooseUpstream(UpstreamSet& upstreams,
+                      const ChoiceQuery& query,
+                      const ChoiceLimits& limits,
+                      TimePoint now);
+
+// Notes that a request is sent to an upstream now.
+void NoteSend(KnownUpstream& upstream, TimePoint now);
+
+// Requests that one instance may send in a second to one cold upstream so that all `instances`
+// together stay under `fleet_limit`. Where a whole request for each is too many, the instances
+// that rank first for the upstream get one and the others none.
+double ColdShare(double fleet_limit,
+                 const std::vector<InstanceId>& instances,
+                 const InstanceId& self,
+                 const UpstreamId& upstream);
+
+}  // namespace chiverail
+
+#endif  // CHIVERAIL_UPSTREAM_CHOICE_H_
--- /dev/null
+++ b/src/upstream_set.cc
@@ -0,0 +1,175 @@
+#include "upstream_set.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace chiverail {
+namespace {
+
+// First time for which an upstream is avoided after a failed connection; a restart takes about a
+// second, so a single lost packet should cost less.
+constexpr Duration kFirstAvoidance = milliseconds(400);
+constexpr Duration kLongestAvoidance = seconds(3);
+
+// Weight of one answer in the failure rate: about the last ten answers count.
+constexpr double kFailureWeight = 0.1;
+
+// The failure rate halves in this time without answers.
+constexpr Duration kFailureHalfLife = seconds(4);
+
+}  // namespace
+
+std::uint32_t UpstreamTag(const UpstreamId& id) {
+  return XXH32(id.data(), id.size(), 0);
+}
+
+double FailureRate(const KnownUpstream& upstream, TimePoint now) {
+  const double half_lives = std::chrono::duration<double>(now - upstream.failure_rate_at) /
+                            std::chrono::duration<double>(kFailureHalfLife);
+  return upstream.failure_rate * std::exp2(-std::max(0.0, half_lives));
+}
+
+void UpstreamSet::Apply(const UpstreamEntry& entry, TimePoint now) {
+  const auto [position, added] = upstreams_.try_emplace(entry.id);
+  KnownUpstream& upstream = position->second;
+  const bool restarted = !added && entry.started_ms != upstream.entry.started_ms;
+  if (!added && entry.started_ms < upstream.entry.started_ms) {
+    return;  // written by an earlier run of the upstream
+  }
+  if (added) {
+    upstream.tag = UpstreamTag(entry.id);
+    tags_[upstream.tag] = entry.id;
+  }
+  if (restarted) {
+    upstream.leaving = false;
+    upstream.avoid_until = {};
+    upstream.connect_failures = 0;
+    upstream.failure_rate = 0;
+  }
+  if (entry.cold_left > Duration::zero()) {
+    upstream.cold_until = std::max(upstream.cold_until, now + entry.cold_left);
+  } else if (!added && upstream.connect_failures == 0) {
+    upstream.cold_until = {};
+  }
+  // A leaving mark is never cleared by an older entry of the same run.
+  upstream.leaving = upstream.leaving || entry.draining;
+  upstream.removed = false;
+  upstream.lapsed = false;
+  upstream.entry = entry;
+}
+
+bool UpstreamSet::InGrace(TimePoint now) const {
+  return list_lost_ || (list_back_at_ != TimePoint{} && now < list_back_at_ + kLapseGrace);
+}
+
+void UpstreamSet::Remove(const UpstreamId& id, TimePoint now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  if (InGrace(now)) {
+    found->second.lapsed = true;
+    return;
+  }
+  Forget(found->second);
+}
+
+// An upstream with requests in progress stays until they end, but gets no new ones.
+void UpstreamSet::Forget(KnownUpstream& upstream) {
+  upstream.removed = true;
+  if (upstream.own_load == 0) {
+    tags_.erase(upstream.tag);
+    const UpstreamId id = upstream.entry.id;
+    upstreams_.erase(id);
+  }
+}
+
+void UpstreamSet::Replace(const std::vector<UpstreamEntry>& entries, TimePoint now) {
+  std::set<UpstreamId> listed;
+  for (const UpstreamEntry& entry : entries) {
+    listed.insert(entry.id);
+    Apply(entry, now);
+  }
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (listed.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : missing) {
+    Remove(id, now);
+  }
+}
+
+void UpstreamSet::OnListLost(TimePoint) {
+  list_lost_ = true;
+}
+
+void UpstreamSet::OnListAnswered(TimePoint now) {
+  if (list_lost_) {
+    list_lost_ = false;
+    list_back_at_ = now;
+  }
+}
+
+void UpstreamSet::Expire(TimePoint now) {
+  const bool grace = InGrace(now);
+  std::vector<UpstreamId> expired;
+  for (const auto& [id, upstream] : upstreams_) {
+    const bool unused = upstream.removed && upstream.own_load == 0;
+    if (unused || (upstream.lapsed && !grace)) {
+      expired.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : expired) {
+    Forget(upstreams_.at(id));
+  }
+}
+
+std::vector<KnownUpstream*> UpstreamSet::Usable(const std::string& service, TimePoint now) {
+  std::vector<KnownUpstream*> usable;
+  for (auto& [id, upstream] : upstreams_) {
+    const bool serving = !upstream.leaving && !upstream.removed && upstream.avoid_until <= now;
+    if (serving && upstream.entry.service == service &&
+        out_.count(upstream.entry.data_centre) == 0) {
+      usable.push_back(&upstream);
+    }
+  }
+  return usable;
+}
+
+KnownUpstream* UpstreamSet::Find(const UpstreamId& id) {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? nullptr : &found->second;
+}
+
+KnownUpstream* UpstreamSet::FindByTag(std::uint32_t tag) {
+  const auto found = tags_.find(tag);
+  return found == tags_.end() ? nullptr : Find(found->second);
+}
+
+void UpstreamSet::OnConnectFailed(KnownUpstream& upstream, Duration cold_start, TimePoint now) {
+  const int doublings = std::min(upstream.connect_failures, 4);
+  const Duration avoidance =
+      std::min<Duration>(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+  ++upstream.connect_failures;
+  upstream.avoid_until = now + avoidance;
+  upstream.cold_until = std::max(upstream.cold_until, upstream.avoid_until + cold_start);
+}
+
+void UpstreamSet::OnAnswer(KnownUpstream& upstream, bool failed, TimePoint now) {
+  const double rate = FailureRate(upstream, now);
+  upstream.failure_rate = rate + kFailureWeight * ((failed ? 1.0 : 0.0) - rate);
+  upstream.failure_rate_at = now;
+  if (!failed) {
+    upstream.connect_failures = 0;
+  }
+}
+
+void UpstreamSet::OnReplaced(KnownUpstream& upstream) {
+  upstream.leaving = true;
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/upstream_set.h
@@ -0,0 +1,113 @@
+#ifndef CHIVERAIL_UPSTREAM_SET_H_
+#define CHIVERAIL_UPSTREAM_SET_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace chiverail {
+
+// What the platform's list says of one upstream.
+struct UpstreamEntry {
+  UpstreamId id;
+  std::string service;
+  std::string address;  // "ip:port"
+  DataCentreId data_centre;
+  int slots = 1;
+  bool draining = false;
+  Duration cold_left{};         // how long it stays cold, from when the entry was written
+  std::int64_t started_ms = 0;  // Unix time of its start; tells two runs under one id apart
+};
+
+// One upstream with what this instance knows of it.
+struct KnownUpstream {
+  UpstreamEntry entry;
+  std::uint32_t tag = 0;     // short name in messages between instances
+  TimePoint cold_until{};    // until then it bears few requests
+  TimePoint avoid_until{};   // after a failed connection
+  int connect_failures = 0;  // in a row
+  bool leaving = false;      // it drains, or another one has its address; holds for this run of it
+  bool removed = false;      // its entry is gone; kept only while it holds requests
+  bool lapsed = false;       // its entry went while the platform's list can't be trusted
+  int own_load = 0;          // requests of this instance that it holds
+  int peer_load = 0;         // requests of the other instances, by their last messages
+  double failure_rate = 0;   // moving share of failed requests
+  TimePoint failure_rate_at{};
+  std::deque<TimePoint> cold_sends;  // of the last second, while cold
+};
+
+// All upstreams that this instance knows. Follows the platform's list, which lags, lapses entries
+// while it is away and may hold entries of earlier runs.
+class UpstreamSet {
+ public:
+  // Takes an entry that was added or changed.
+  void Apply(const UpstreamEntry& entry, TimePoint now);
+
+  // Takes the removal of an entry. Within kLapseGrace after an outage of the list the upstream is
+  // kept for that long, because live upstreams first have to write their entries again.
+  void Remove(const UpstreamId& id, TimePoint now);
+
+  // Takes a complete listing; upstreams that it lacks are removed.
+  void Replace(const std::vector<UpstreamEntry>& entries, TimePoint now);
+
+  // Tells that the list didn't answer, or answers again.
+  void OnListLost(TimePoint now);
+  void OnListAnswered(TimePoint now);
+
+  // Operators have taken a data centre out, or put it back.
+  void SetDataCentresOut(std::set<DataCentreId> out) { out_ = std::move(out); }
+
+  // Drops upstreams whose grace has passed and that hold no request.
+  void Expire(TimePoint now);
+
+  // Returns the upstreams of a service that may get new requests now.
+  std::vector<KnownUpstream*> Usable(const std::string& service, TimePoint now);
+
+  // Returns an upstream, or null when it isn't known any more.
+  KnownUpstream* Find(const UpstreamId& id);
+
+  // Returns the upstream of a tag, or null.
+  KnownUpstream* FindByTag(std::uint32_t tag);
+
+  std::map<UpstreamId, KnownUpstream>& all() { return upstreams_; }
+  const std::map<UpstreamId, KnownUpstream>& all() const { return upstreams_; }
+
+  // A connection to the upstream could not be opened: it is avoided for a while that doubles with
+  // each failure in a row, and taken for cold when it comes back.
+  void OnConnectFailed(KnownUpstream& upstream, Duration cold_start, TimePoint now);
+
+  // An answer of the upstream ended; `failed` tells whether it was a failure of the upstream.
+  void OnAnswer(KnownUpstream& upstream, bool failed, TimePoint now);
+
+  // Another upstream answered at this one's address.
+  void OnReplaced(KnownUpstream& upstream);
+
+ private:
+  bool InGrace(TimePoint now) const;
+  void Forget(KnownUpstream& upstream);
+
+  std::map<UpstreamId, KnownUpstream> upstreams_;
+  std::map<std::uint32_t, UpstreamId> tags_;
+  std::set<DataCentreId> out_;
+  bool list_lost_ = false;
+  TimePoint list_back_at_{};
+};
+
+// Live upstreams are listed again this long after the platform's list is back; the platform states
+// about two seconds.
+inline constexpr Duration kLapseGrace = milliseconds(2200);
+
+// Short name of an upstream in messages between instances.
+std::uint32_t UpstreamTag(const UpstreamId& id);
+
+// Failure rate now: it decays while no answers come, so that a recovered upstream is tried again.
+double FailureRate(const KnownUpstream& upstream, TimePoint now);
+
+}  // namespace chiverail
+
+#endif  // CHIVERAIL_UPSTREAM_SET_H_
