--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -165,6 +165,7 @@
   digest.start_id = start_id_;
   digest.sequence = sequence_;
   digest.caller_address = settings_.caller_address;
+  digest.data_centre = settings_.data_centre;
   digest.accepting = ready_ && relay_.Accepting(BootTimeNow());
   digest.leaving = leaving_;
   digest.loads = relay_.OwnLoads();
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -51,6 +51,9 @@
   // The adapter has read everything that serving needs.
   void SetReady() { ready_ = true; }
 
+  // Message address of the instance that reads the platform's store for this one; empty for none.
+  std::string Reader() { return relay_.instances().ReaderFor(OwnDigest(false), BootTimeNow()); }
+
   // Called when the process starts to leave.
   void OnLeaving(std::function<void()> callback) { on_leaving_ = std::move(callback); }
 
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -29,7 +29,8 @@
   std::string log_level;
 
   Duration key_withdrawal{};
-  Duration list_period{};
+  Duration list_wait{};
+  Duration list_pause{};
   Duration config_wait{};
   Duration digest_period{};
   Duration drain_accept{};
--- a/src/instance_table.cc
+++ b/src/instance_table.cc
@@ -1,5 +1,9 @@
 #include "instance_table.h"
 
+#include <algorithm>
+
+#include <xxhash.h>
+
 namespace chiverail {
 namespace {
 
@@ -7,6 +11,16 @@
 // platform at each start, so a replacement is learnt anew.
 constexpr Duration kForgetAfter = seconds(90);
 
+// One reader of the store serves this many instances of its data centre.
+constexpr std::size_t kInstancesPerReader = 16;
+
+// A reader must have been heard this lately: its silence costs its followers a call's time limit.
+constexpr Duration kReaderSilenceLimit = milliseconds(1600);
+
+std::uint64_t ReaderRank(const InstanceId& instance) {
+  return XXH64(instance.data(), instance.size(), 0);
+}
+
 }  // namespace
 
 void InstanceTable::AddAddress(const std::string& address) {
@@ -81,6 +95,29 @@
   return accepting.empty() ? staying : accepting;
 }
 
+std::string InstanceTable::ReaderFor(const InstanceDigest& self, TimePoint now) const {
+  struct Reader {
+    std::uint64_t rank;
+    std::string address;  // empty for this instance
+  };
+  std::vector<Reader> readers{{ReaderRank(self.instance), {}}};
+  for (const auto& [id, known] : instances_) {
+    if (now < known.heard_at + kReaderSilenceLimit && known.digest.accepting &&
+        !known.digest.leaving && known.digest.data_centre == self.data_centre) {
+      readers.push_back({ReaderRank(id), known.message_address});
+    }
+  }
+  std::sort(readers.begin(), readers.end(),
+            [](const Reader& a, const Reader& b) { return a.rank > b.rank; });
+  const std::size_t count = std::min(readers.size(), 1 + readers.size() / kInstancesPerReader);
+  for (std::size_t i = 0; i < count; ++i) {
+    if (readers[i].address.empty()) {
+      return {};
+    }
+  }
+  return readers[ReaderRank(self.instance) % count].address;
+}
+
 std::map<std::uint32_t, std::uint32_t> InstanceTable::Loads(TimePoint now) const {
   std::map<std::uint32_t, std::uint32_t> loads;
   for (const KnownInstance* known : Heard(now)) {
--- a/src/instance_table.h
+++ b/src/instance_table.h
@@ -24,8 +24,9 @@
   std::uint64_t start_id = 0;  // differs between two runs of an instance
   std::uint64_t sequence = 0;  // grows within a run; datagrams overtake each other
   std::string caller_address;  // "ip:port" for callers
-  bool accepting = false;      // it can serve new requests
-  bool leaving = false;        // it is shutting down
+  DataCentreId data_centre;
+  bool accepting = false;  // it can serve new requests
+  bool leaving = false;    // it is shutting down
   std::vector<UpstreamLoad> loads;
   std::vector<std::string> instances;  // message addresses that it knows, now and then
 };
@@ -65,6 +66,12 @@
   // those that were heard and aren't leaving. `self` is this instance's own digest.
   std::vector<std::string> CallerAddresses(const InstanceDigest& self, TimePoint now) const;
 
+  // Message address of the instance from which this one should learn what the platform's store
+  // says, or empty when it should read the store itself. A few instances of each data centre read
+  // the store and pass it on, so that calls don't grow with the fleet; all instances that hear each
+  // other agree on them.
+  std::string ReaderFor(const InstanceDigest& self, TimePoint now) const;
+
   // Requests that the other instances have at each upstream, by tag.
   std::map<std::uint32_t, std::uint32_t> Loads(TimePoint now) const;
 
--- a/src/peer_datagrams.cc
+++ b/src/peer_datagrams.cc
@@ -15,7 +15,7 @@
 namespace {
 
 // First element of each message; differs from release to release when the layout changes.
-constexpr int kLayout = 1;
+constexpr int kLayout = 2;
 
 udp::endpoint EndpointOf(const std::string& address) {
   const auto [host, port] = SplitAddress(address);
@@ -32,7 +32,7 @@
   }
   const json message = json::array({kLayout, digest.instance, digest.start_id, digest.sequence,
                                     digest.caller_address, digest.accepting, digest.leaving,
-                                    std::move(loads), digest.instances});
+                                    std::move(loads), digest.instances, digest.data_centre});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -41,7 +41,7 @@
 std::optional<InstanceDigest> DecodeDigest(std::string_view bytes) {
   try {
     const json message = json::from_msgpack(bytes.begin(), bytes.end());
-    if (message.size() < 9 || message.at(0) != kLayout) {
+    if (message.size() < 10 || message.at(0) != kLayout) {
       return std::nullopt;
     }
     InstanceDigest digest;
@@ -56,6 +56,7 @@
       digest.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>()});
     }
     digest.instances = message.at(8).get<std::vector<std::string>>();
+    digest.data_centre = message.at(9).get<std::string>();
     return digest;
   } catch (const json::exception&) {
     // Anything may arrive on an open port; the sender's next digest follows soon.
--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -60,7 +60,7 @@
   upstream.entry = entry;
 }
 
-bool UpstreamSet::InGrace(TimePoint now) const {
+bool UpstreamSet::Unsettled(TimePoint now) const {
   return list_lost_ || (list_back_at_ != TimePoint{} && now < list_back_at_ + kLapseGrace);
 }
 
@@ -69,7 +69,7 @@
   if (found == upstreams_.end()) {
     return;
   }
-  if (InGrace(now)) {
+  if (Unsettled(now)) {
     found->second.lapsed = true;
     return;
   }
@@ -115,7 +115,7 @@
 }
 
 void UpstreamSet::Expire(TimePoint now) {
-  const bool grace = InGrace(now);
+  const bool grace = Unsettled(now);
   std::vector<UpstreamId> expired;
   for (const auto& [id, upstream] : upstreams_) {
     const bool unused = upstream.removed && upstream.own_load == 0;
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -59,6 +59,9 @@
   void OnListLost(TimePoint now);
   void OnListAnswered(TimePoint now);
 
+  // True while entries that lapsed in an outage of the list may still be missing.
+  bool Unsettled(TimePoint now) const;
+
   // Operators have taken a data centre out, or put it back.
   void SetDataCentresOut(std::set<DataCentreId> out) { out_ = std::move(out); }
 
@@ -88,7 +91,6 @@
   void OnReplaced(KnownUpstream& upstream);
 
  private:
-  bool InGrace(TimePoint now) const;
   void Forget(KnownUpstream& upstream);
 
   std::map<UpstreamId, KnownUpstream> upstreams_;
