Keep parts where they were read; readers that are cut off say so

Ruled out: longer waits at the store; a follower's bound is the sum of its reader's and its own. Change: digests tell which engine was sent which part; a part's least loaded engine takes its requests.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -150,7 +150,11 @@
   }
   const TimePoint now = BootTimeNow();
   const std::size_t known = relay_.instances().addresses().size();
-  relay_.instances().OnDigest(digest, from, now);
+  if (relay_.instances().OnDigest(digest, from, now)) {
+    for (const PartRead& read : digest.reads) {
+      relay_.part_holders().OnHeard(read, now);
+    }
+  }
   relay_.UpdatePeerLoads(now);
   if (relay_.instances().addresses().size() > known && !leaving_) {
     // A newcomer learns of the others at once.
@@ -168,6 +172,7 @@
   digest.data_centre = settings_.data_centre;
   digest.accepting = ready_ && relay_.Accepting(BootTimeNow());
   digest.leaving = leaving_;
+  digest.reads_store = reads_store_ && reads_store_();
   digest.loads = relay_.OwnLoads();
   if (with_addresses) {
     const auto& addresses = relay_.instances().addresses();
@@ -180,7 +185,9 @@
   const TimePoint now = BootTimeNow();
   relay_.Expire(now);
   const bool with_addresses = sequence_++ % kAddressesEvery == 0;
-  peers_->Send(OwnDigest(with_addresses), relay_.instances().addresses());
+  InstanceDigest digest = OwnDigest(with_addresses);
+  digest.reads = relay_.part_holders().TakeNews();
+  peers_->Send(digest, relay_.instances().addresses());
   ScheduleDigest();
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -54,6 +54,9 @@
   // Message address of the instance that reads the platform's store for this one; empty for none.
   std::string Reader() { return relay_.instances().ReaderFor(OwnDigest(false), BootTimeNow()); }
 
+  // Tells whether this instance's way to the platform's store is sound.
+  void SetReadsStore(std::function<bool()> reads_store) { reads_store_ = std::move(reads_store); }
+
   // Called when the process starts to leave.
   void OnLeaving(std::function<void()> callback) { on_leaving_ = std::move(callback); }
 
@@ -89,6 +92,7 @@
   boost::asio::steady_timer leaving_timer_;
   boost::asio::signal_set signals_;
   std::function<void()> on_leaving_;
+  std::function<bool()> reads_store_;
   std::uint64_t start_id_ = 0;
   std::uint64_t sequence_ = 0;
   TimePoint leaving_since_{};
--- a/src/instance_table.cc
+++ b/src/instance_table.cc
@@ -47,6 +47,7 @@
   }
   known.digest = digest;
   known.digest.instances.clear();
+  known.digest.reads.clear();
   known.message_address = address;
   known.heard_at = now;
   return true;
@@ -100,13 +101,20 @@
     std::uint64_t rank;
     std::string address;  // empty for this instance
   };
-  std::vector<Reader> readers{{ReaderRank(self.instance), {}}};
+  std::vector<Reader> readers;
+  if (self.reads_store) {
+    readers.push_back({ReaderRank(self.instance), {}});
+  }
   for (const auto& [id, known] : instances_) {
     if (now < known.heard_at + kReaderSilenceLimit && known.digest.accepting &&
-        !known.digest.leaving && known.digest.data_centre == self.data_centre) {
+        known.digest.reads_store && !known.digest.leaving &&
+        known.digest.data_centre == self.data_centre) {
       readers.push_back({ReaderRank(id), known.message_address});
     }
   }
+  if (readers.empty()) {
+    return {};
+  }
   std::sort(readers.begin(), readers.end(),
             [](const Reader& a, const Reader& b) { return a.rank > b.rank; });
   const std::size_t count = std::min(readers.size(), 1 + readers.size() / kInstancesPerReader);
--- a/src/peer_datagrams.cc
+++ b/src/peer_datagrams.cc
@@ -15,7 +15,7 @@
 namespace {
 
 // First element of each message; differs from release to release when the layout changes.
-constexpr int kLayout = 2;
+constexpr int kLayout = 4;
 
 udp::endpoint EndpointOf(const std::string& address) {
   const auto [host, port] = SplitAddress(address);
@@ -30,9 +30,15 @@
     loads.push_back(load.tag);
     loads.push_back(load.requests);
   }
-  const json message = json::array({kLayout, digest.instance, digest.start_id, digest.sequence,
-                                    digest.caller_address, digest.accepting, digest.leaving,
-                                    std::move(loads), digest.instances, digest.data_centre});
+  json reads = json::array();
+  for (const PartRead& read : digest.reads) {
+    reads.push_back(read.part);
+    reads.push_back(read.upstream);
+  }
+  const json message =
+      json::array({kLayout, digest.instance, digest.start_id, digest.sequence,
+                   digest.caller_address, digest.accepting, digest.leaving, std::move(loads),
+                   digest.instances, digest.data_centre, std::move(reads), digest.reads_store});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -41,7 +47,7 @@
 std::optional<InstanceDigest> DecodeDigest(std::string_view bytes) {
   try {
     const json message = json::from_msgpack(bytes.begin(), bytes.end());
-    if (message.size() < 10 || message.at(0) != kLayout) {
+    if (message.size() < 12 || message.at(0) != kLayout) {
       return std::nullopt;
     }
     InstanceDigest digest;
@@ -57,6 +63,11 @@
     }
     digest.instances = message.at(8).get<std::vector<std::string>>();
     digest.data_centre = message.at(9).get<std::string>();
+    digest.reads_store = message.at(11).get<bool>();
+    const json& reads = message.at(10);
+    for (std::size_t i = 0; i + 1 < reads.size(); i += 2) {
+      digest.reads.push_back({reads[i].get<std::uint32_t>(), reads[i + 1].get<std::uint32_t>()});
+    }
     return digest;
   } catch (const json::exception&) {
     // Anything may arrive on an open port; the sender's next digest follows soon.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -74,6 +74,7 @@
 void Relay::Expire(TimePoint now) {
   upstreams_.Expire(now);
   instances_.ForgetSilent(now);
+  part_holders_.Expire(now);
   pool_.Expire();
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -13,6 +13,7 @@
 #include "header_names.h"
 #include "instance_table.h"
 #include "metrics.h"
+#include "part_holders.h"
 #include "retry_budget.h"
 #include "route_table.h"
 #include "upstream_choice.h"
@@ -84,6 +85,7 @@
   UpstreamSet& upstreams() { return upstreams_; }
   InstanceTable& instances() { return instances_; }
   const InstanceTable& instances() const { return instances_; }
+  PartHolders& part_holders() { return part_holders_; }
   UpstreamPool& pool() { return pool_; }
   RetryBudget& BudgetFor(const std::string& service);
   DecisionLog& log() { return log_; }
@@ -103,6 +105,7 @@
   TimePoint config_confirmed_at_{};
   UpstreamSet upstreams_;
   InstanceTable instances_;
+  PartHolders part_holders_;
   UpstreamPool pool_;
   std::map<std::string, RetryBudget> budgets_;
   std::mt19937_64 random_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -164,6 +164,9 @@
   query.service = service_name_;
   query.data_centre = relay_.data_centre();
   query.affinity = affinity_;
+  if (affinity_ != 0) {
+    query.holders = relay_.part_holders().Holders(affinity_, now);
+  }
   query.random = relay_.Random();
   query.tried = &tried_;
   query.cold_limit = [this, now](const KnownUpstream& upstream) {
@@ -196,6 +199,9 @@
   load_at_send_ = upstream.own_load + upstream.peer_load;
   ++upstream.own_load;
   NoteSend(upstream, now);
+  if (affinity_ != 0) {
+    relay_.part_holders().OnSent(affinity_, upstream.tag, now);
+  }
   const bool at_most_once = !Repeatable();
   connection_ = relay_.pool().Take(upstream.entry.address,
                                    at_most_once ? kMaxIdleAtMostOnce : kMaxIdleIdempotent);
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -68,6 +68,25 @@
   return best;
 }
 
+bool Holds(const ChoiceQuery& query, const KnownUpstream& upstream) {
+  return std::find(query.holders.begin(), query.holders.end(), upstream.tag) != query.holders.end();
+}
+
+// The least loaded of the engines that have read the shared parts, unless all are over the limit.
+KnownUpstream* AmongHolders(const std::vector<KnownUpstream*>& candidates,
+                            const ChoiceQuery& query,
+                            double load_limit,
+                            TimePoint now) {
+  std::vector<KnownUpstream*> holders;
+  for (KnownUpstream* candidate : candidates) {
+    if (Holds(query, *candidate) && TotalLoad(*candidate) + 1 <= load_limit &&
+        FailureRate(*candidate, now) < kFailingRate) {
+      holders.push_back(candidate);
+    }
+  }
+  return LeastLoaded(holders, query, now);
+}
+
 KnownUpstream* ByAffinity(const std::vector<KnownUpstream*>& candidates,
                           const ChoiceQuery& query,
                           double load_limit,
@@ -129,7 +148,11 @@
   if (query.affinity != 0) {
     const double mean = total / static_cast<double>(usable.size());
     choice.upstream =
-        ByAffinity(candidates, query, limits.load_multiple * mean + limits.load_floor, now);
+        AmongHolders(candidates, query, limits.load_multiple * mean + limits.load_floor, now);
+    if (choice.upstream == nullptr) {
+      choice.upstream =
+          ByAffinity(candidates, query, limits.new_multiple * mean + limits.new_floor, now);
+    }
   }
   if (choice.upstream == nullptr) {
     choice.upstream = LeastLoaded(candidates, query, now);
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -23,9 +23,10 @@
 // What the choice of an upstream needs to know of a request.
 struct ChoiceQuery {
   std::string service;
-  DataCentreId data_centre;    // of this instance
-  std::uint64_t affinity = 0;  // requests with equal values share cached parts; 0 for none
-  std::uint64_t random = 0;    // breaks ties
+  DataCentreId data_centre;            // of this instance
+  std::uint64_t affinity = 0;          // requests with equal values share cached parts; 0 for none
+  std::vector<std::uint32_t> holders;  // tags of the engines that have read the shared parts
+  std::uint64_t random = 0;            // breaks ties
   const std::set<UpstreamId>* tried = nullptr;  // upstreams that the request has been sent to
   // Requests that this instance may send in a second to a cold upstream; none where it is empty.
   std::function<double(const KnownUpstream&)> cold_limit;
@@ -33,9 +34,11 @@
 
 // Limits of the choice.
 struct ChoiceLimits {
-  double load_multiple = 1.5;  // affinity yields when an engine holds this many times the mean
+  double load_multiple = 1.5;  // a part's engine is left when it holds this many times the mean
   double load_floor = 3;       // plus this many requests, as means are small on small fleets
-  double slot_share = 0.85;    // share of an upstream's slots that new requests may take
+  double new_multiple = 1.1;   // the same for an engine that would read a part anew
+  double new_floor = 2;
+  double slot_share = 0.85;  // share of an upstream's slots that new requests may take
 };
 
 // Why there is no upstream to send to.
@@ -60,10 +63,11 @@
 
 // Chooses the upstream of one request.
 //
-// Requests with an affinity go to the engine that rendezvous hashing names for it, so that all
-// instances agree without messages; when that one holds more than its share, the next in order is
-// taken, which answers a part that suddenly draws much of the traffic. Others go to the least
-// loaded upstream. Upstreams that fail part of their answers weigh as if they were fuller.
+// Requests with an affinity go to the least loaded engine that has read their shared parts, unless
+// all of these hold more than their share: that answers a part that suddenly draws much of the
+// traffic. A part without an engine goes to the one that rendezvous hashing names, so that all
+// instances agree without messages. Others go to the least loaded upstream. Upstreams that fail
+// part of their answers weigh as if they were fuller.
 Choice ChooseUpstream(UpstreamSet& upstreams,
                       const ChoiceQuery& query,
                       const ChoiceLimits& limits,
