Take entries for lapsed only after a gap in the list of upstreams

Ruled out: the feed being late, the tombstone came after 0.1 to 0.8 s. Change: an outage is a gap of over 2.5 s between what two answers show, from the store or through another instance; instances of other data centres pass rows on when none of one's own can.

--- a/src/instance_table.cc
+++ b/src/instance_table.cc
@@ -101,17 +101,20 @@
     std::uint64_t rank;
     std::string address;  // empty for this instance
   };
-  std::vector<Reader> readers;
+  std::vector<Reader> near;
+  std::vector<Reader> far;
   if (self.reads_store) {
-    readers.push_back({ReaderRank(self.instance), {}});
+    near.push_back({ReaderRank(self.instance), {}});
   }
   for (const auto& [id, known] : instances_) {
     if (now < known.heard_at + kReaderSilenceLimit && known.digest.accepting &&
-        known.digest.reads_store && !known.digest.leaving &&
-        known.digest.data_centre == self.data_centre) {
+        known.digest.reads_store && !known.digest.leaving) {
+      auto& readers = known.digest.data_centre == self.data_centre ? near : far;
       readers.push_back({ReaderRank(id), known.message_address});
     }
   }
+  // The store may turn away a whole data centre.
+  std::vector<Reader>& readers = near.empty() ? far : near;
   if (readers.empty()) {
     return {};
   }
--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -61,7 +61,7 @@
 }
 
 bool UpstreamSet::Unsettled(TimePoint now) const {
-  return list_lost_ || (list_back_at_ != TimePoint{} && now < list_back_at_ + kLapseGrace);
+  return list_back_at_ != TimePoint{} && now < list_back_at_ + kLapseGrace;
 }
 
 void UpstreamSet::Remove(const UpstreamId& id, TimePoint now) {
@@ -103,15 +103,11 @@
   }
 }
 
-void UpstreamSet::OnListLost(TimePoint) {
-  list_lost_ = true;
-}
-
-void UpstreamSet::OnListAnswered(TimePoint now) {
-  if (list_lost_) {
-    list_lost_ = false;
+void UpstreamSet::OnListAnswered(TimePoint as_of, TimePoint now) {
+  if (list_as_of_ != TimePoint{} && as_of > list_as_of_ + kLapseAfter) {
     list_back_at_ = now;
   }
+  list_as_of_ = std::max(list_as_of_, as_of);
 }
 
 void UpstreamSet::Expire(TimePoint now) {
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -55,12 +55,9 @@
   // Takes a complete listing; upstreams that it lacks are removed.
   void Replace(const std::vector<UpstreamEntry>& entries, TimePoint now);
 
-  // Tells that the list didn't answer, or answers again.
-  void OnListLost(TimePoint now);
-  void OnListAnswered(TimePoint now);
-
-  // True while entries that lapsed in an outage of the list may still be missing.
-  bool Unsettled(TimePoint now) const;
+  // Tells that the list has answered, by whatever way, with what it held at `as_of`. A gap of more
+  // than kLapseAfter between two answers is an outage in which entries may have lapsed.
+  void OnListAnswered(TimePoint as_of, TimePoint now);
 
   // Operators have taken a data centre out, or put it back.
   void SetDataCentresOut(std::set<DataCentreId> out) { out_ = std::move(out); }
@@ -91,15 +88,19 @@
   void OnReplaced(KnownUpstream& upstream);
 
  private:
+  bool Unsettled(TimePoint now) const;
   void Forget(KnownUpstream& upstream);
 
   std::map<UpstreamId, KnownUpstream> upstreams_;
   std::map<std::uint32_t, UpstreamId> tags_;
   std::set<DataCentreId> out_;
-  bool list_lost_ = false;
+  TimePoint list_as_of_{};
   TimePoint list_back_at_{};
 };
 
+// Entries lapse after three heartbeats of about 1.2 s; a list that was away for less has lost none.
+inline constexpr Duration kLapseAfter = milliseconds(2500);
+
 // Live upstreams are listed again this long after the platform's list is back; the platform states
 // about two seconds.
 inline constexpr Duration kLapseGrace = milliseconds(2200);
--- a/tests/upstream_set_test.cc
+++ b/tests/upstream_set_test.cc
@@ -68,9 +68,9 @@
 TEST_CASE("Entries that lapsed in an outage of the list are waited for") {
   UpstreamSet upstreams;
   upstreams.Apply(Entry("a"), kStart);
-  upstreams.OnListLost(kStart);
+  upstreams.OnListAnswered(kStart, kStart);
   const TimePoint back = kStart + seconds(5);
-  upstreams.OnListAnswered(back);
+  upstreams.OnListAnswered(back, back);
   upstreams.Remove("a", back);
   upstreams.Expire(back);
   CHECK(UsableCount(upstreams, back) == 1);
@@ -84,6 +84,18 @@
     upstreams.Expire(back + kLapseGrace);
     CHECK(UsableCount(upstreams, back + kLapseGrace) == 0);
   }
+  // cdsaa-rail trouble-1, DRAIN: the store turned some instances away while it served the
+  // upstreams; what was removed meanwhile was taken for lapsed and used for another four seconds.
+  SECTION("but not when the list was only lost for a moment, or another way to it was found") {
+    TimePoint now = back + seconds(10);
+    upstreams.Apply(Entry("c"), now);
+    for (int i = 0; i < 10; ++i) {
+      now += seconds(2);
+      upstreams.OnListAnswered(now, now);
+    }
+    upstreams.Remove("c", now);
+    CHECK(upstreams.Find("c") == nullptr);
+  }
   SECTION("on a calm day a removal counts at once") {
     const TimePoint later = back + seconds(10);
     upstreams.Apply(Entry("b"), later);
