Repeat resumable streams after a failed answer; draw two upstreams for plain calls

At a start of 93 instances addresses spread with every eighth digest only, so all read the store for 6 s. Change: the relay repeats what the route says may be repeated; plain calls go to the less loaded of two upstreams drawn at random; digests carry addresses whenever these have changed.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -18,8 +18,9 @@
 // not with their square: this many are sent a second at most.
 constexpr double kDigestsPerSecond = 120;
 
-// Every so many digests carry the known addresses, by which instances find each other.
-constexpr std::uint64_t kAddressesEvery = 8;
+// Digests carry the known addresses, by which instances find each other, when these have changed
+// and every so many times.
+constexpr std::uint64_t kAddressesEvery = 16;
 
 // How often a leaving process looks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
@@ -184,7 +185,9 @@
 void Gateway::SendDigest() {
   const TimePoint now = BootTimeNow();
   relay_.Expire(now);
-  const bool with_addresses = sequence_++ % kAddressesEvery == 0;
+  const std::size_t known = relay_.instances().addresses().size();
+  const bool with_addresses = sequence_++ % kAddressesEvery == 0 || known != addresses_told_;
+  addresses_told_ = known;
   InstanceDigest digest = OwnDigest(with_addresses);
   digest.reads = relay_.part_holders().TakeNews();
   peers_->Send(digest, relay_.instances().addresses());
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -95,6 +95,7 @@
   std::function<bool()> reads_store_;
   std::uint64_t start_id_ = 0;
   std::uint64_t sequence_ = 0;
+  std::size_t addresses_told_ = 0;  // number of addresses in the last digest that had them
   TimePoint leaving_since_{};
   bool ready_ = false;
   bool leaving_ = false;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -366,8 +366,7 @@
   const auto connection = std::exchange(connection_, nullptr);
   relay_.pool().GiveBack(connection);
   const TimePoint now = BootTimeNow();
-  const bool repeat = phase_ == Phase::kBuffering && status >= 500 &&
-                      route_->kind == WorkKind::kIdempotent &&
+  const bool repeat = phase_ == Phase::kBuffering && status >= 500 && Repeatable() &&
                       MaySendAgain(AttemptEnd::kFailedAnswer, runs_ + 1, now) &&
                       relay_.BudgetFor(service_name_).Allows(now);
   if (repeat) {
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -72,6 +72,21 @@
   return std::find(query.holders.begin(), query.holders.end(), upstream.tag) != query.holders.end();
 }
 
+// The less loaded of two candidates drawn at random. Loads of other instances are some hundred
+// milliseconds old, which is longer than a plain call takes: if all instances took the least loaded
+// one, they would fill it together.
+KnownUpstream* LessLoadedOfTwo(const std::vector<KnownUpstream*>& candidates,
+                               const ChoiceQuery& query,
+                               TimePoint now) {
+  if (candidates.size() <= 2) {
+    return LeastLoaded(candidates, query, now);
+  }
+  const std::size_t first = query.random % candidates.size();
+  const std::size_t step = 1 + (query.random / candidates.size()) % (candidates.size() - 1);
+  return LeastLoaded({candidates[first], candidates[(first + step) % candidates.size()]}, query,
+                     now);
+}
+
 // The least loaded of the engines that have read the shared parts, unless all are over the limit.
 KnownUpstream* AmongHolders(const std::vector<KnownUpstream*>& candidates,
                             const ChoiceQuery& query,
@@ -155,7 +170,8 @@
     }
   }
   if (choice.upstream == nullptr) {
-    choice.upstream = LeastLoaded(candidates, query, now);
+    choice.upstream = query.affinity != 0 ? LeastLoaded(candidates, query, now)
+                                          : LessLoadedOfTwo(candidates, query, now);
   }
   choice.outcome = ChoiceOutcome::kChosen;
   return choice;
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -66,8 +66,8 @@
 // Requests with an affinity go to the least loaded engine that has read their shared parts, unless
 // all of these hold more than their share: that answers a part that suddenly draws much of the
 // traffic. A part without an engine goes to the one that rendezvous hashing names, so that all
-// instances agree without messages. Others go to the least loaded upstream. Upstreams that fail
-// part of their answers weigh as if they were fuller.
+// instances agree without messages. Others go to the less loaded of two upstreams. Upstreams that
+// fail part of their answers weigh as if they were fuller.
 Choice ChooseUpstream(UpstreamSet& upstreams,
                       const ChoiceQuery& query,
                       const ChoiceLimits& limits,
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -124,6 +124,14 @@
   }
   CHECK(good.requests().size() == 6);
   CHECK(bad.requests().size() < 6);
+
+  // Incident f779 on gge-chiverail: all engines failed part of their streams for four seconds, and
+  // streams that may be resumed were not tried again.
+  SECTION("and so is a resumable stream that failed before its first event") {
+    for (int i = 0; i < 4; ++i) {
+      CHECK(fixture.Ask(RelayFixture::Request("/chat/")).status == 200);
+    }
+  }
 }
 
 TEST_CASE("A late answer to an earlier request is read over") {
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -85,6 +85,31 @@
   }
 }
 
+// Load: many instances send short calls, and each hears of the others' loads only now and then. If
+// all took the least loaded upstream, they would fill it together until the next digests.
+TEST_CASE("Instances with old loads don't fill one upstream together") {
+  constexpr int kInstances = 90;
+  constexpr int kUpstreams = 6;
+  UpstreamSet upstreams;
+  AddEngines(upstreams, kUpstreams);
+  int position = 0;
+  for (auto& [id, upstream] : upstreams.all()) {
+    upstream.peer_load = 8 + position++ % 2;
+  }
+  std::map<UpstreamId, int> sent;
+  std::uint64_t random = 12345;
+  for (int i = 0; i < kInstances; ++i) {
+    ChoiceQuery query = Query(0);
+    query.data_centre = "south";
+    random = random * 6364136223846793005u + 1442695040888963407u;
+    query.random = random >> 20;
+    ++sent[ChooseUpstream(upstreams, query, ChoiceLimits{}, kStart).upstream->entry.id];
+  }
+  for (const auto& [id, count] : sent) {
+    CHECK(count < 2 * kInstances / kUpstreams);
+  }
+}
+
 TEST_CASE("Upstreams in a bad state are kept out") {
   UpstreamSet upstreams;
   AddEngines(upstreams, 2);
