--- a/src/ctl_command.cc
+++ b/src/ctl_command.cc
@@ -13,6 +13,7 @@
 #include "ctl_manifest.h"
 #include "ctl_settings.h"
 #include "ctl_status.h"
+#include "ctl_trace.h"
 #include "manifest.h"
 
 namespace chiverail {
@@ -71,6 +72,11 @@
       {{"calls", "settle"}, "WORKSPACE/KEY", "settle a call in doubt as --as tells", 1, SettleCall},
       {{"audit"}, "", "list accepted changes, oldest first", 0, ShowAudit},
       {{"settings", "check"}, "FILE", "check a settings file of chiveraild", 1, CheckSettings},
+      {{"trace"},
+       "REQUEST FILE[,FILE...]",
+       "print the lines that explain a request, from decision logs of the gateway",
+       2,
+       TraceRequest},
       {{"settings", "table"}, "", "print the table of settings as Markdown", 0, PrintSettingsTable},
   };
   return commands;
