--- a/src/header_names.h
+++ b/src/header_names.h
@@ -22,6 +22,8 @@
   std::string seal = "Answer-Seal";  // upstreams put it on every answer of their own
   std::string not_run = "Not-Run";   // says that the upstream didn't run the request
   std::string resume_after = "Last-Event-Id";
+  std::string fetch_parts_from =
+      "Fetch-Parts-From";  // address of an engine that has read the parts
   std::string retry_after = "Retry-After";
   std::vector<std::string> reserved;  // fields that only the system may set; dropped from callers
 
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -177,7 +177,7 @@
     WaitForPlace(choice.outcome, now);
     return;
   }
-  Send(*choice.upstream, now);
+  Send(*choice.upstream, query.holders, now);
 }
 
 // A place may free within the time that a refusal may take; without any upstream to hope for the
@@ -193,13 +193,20 @@
   ArmTimer(now + kPlaceRetry);
 }
 
-void RelayCall::Send(KnownUpstream& upstream, TimePoint now) {
+void RelayCall::Send(KnownUpstream& upstream,
+                     const std::vector<std::uint32_t>& holders,
+                     TimePoint now) {
   upstream_id_ = upstream.entry.id;
   tried_.insert(upstream_id_);
   load_at_send_ = upstream.own_load + upstream.peer_load;
   ++upstream.own_load;
   NoteSend(upstream, now);
+  parts_from_.clear();
   if (affinity_ != 0) {
+    const KnownUpstream* source = service_ != nullptr && service_->shares_cache
+                                      ? PartSource(relay_.upstreams(), holders, upstream, now)
+                                      : nullptr;
+    parts_from_ = source == nullptr ? "" : source->entry.address;
     relay_.part_holders().OnSent(affinity_, upstream.tag, now);
   }
   const bool at_most_once = !Repeatable();
@@ -231,7 +238,8 @@
   const HeaderNames& names = relay_.names();
   if (IsConnectionField(name, connection) || SameFieldName(name, names.deadline_ms) ||
       SameFieldName(name, names.key) || SameFieldName(name, names.workspace) ||
-      SameFieldName(name, names.expected_upstream) || SameFieldName(name, "Expect")) {
+      SameFieldName(name, names.expected_upstream) || SameFieldName(name, "Expect") ||
+      SameFieldName(name, names.fetch_parts_from)) {
     return false;
   }
   if (events_relayed_ && SameFieldName(name, names.resume_after)) {
@@ -261,6 +269,9 @@
   if (!workspace_.empty()) {
     add(names.workspace, workspace_);
   }
+  if (!parts_from_.empty()) {
+    add(names.fetch_parts_from, parts_from_);
+  }
   if (events_relayed_ && !events_.last_id().empty()) {
     add(names.resume_after, events_.last_id());
   }
@@ -522,6 +533,9 @@
                       {"sends", sends_},
                       {"runs", runs_},
                       {"ms", Milliseconds(now - request_.received)}};
+  if (!parts_from_.empty()) {
+    line["parts_from"] = parts_from_;
+  }
   if (first_byte_at_ != TimePoint{}) {
     line["first_ms"] = Milliseconds(first_byte_at_ - request_.received);
   }
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -52,7 +52,7 @@
 
   void Place();
   void WaitForPlace(ChoiceOutcome outcome, TimePoint now);
-  void Send(KnownUpstream& upstream, TimePoint now);
+  void Send(KnownUpstream& upstream, const std::vector<std::uint32_t>& holders, TimePoint now);
   std::string WireRequest(const KnownUpstream& upstream, TimePoint now) const;
   bool IsCallerField(std::string_view name, std::string_view connection) const;
 
@@ -89,6 +89,7 @@
   WorkspaceId workspace_;
   bool keyed_ = false;
   std::uint64_t affinity_ = 0;
+  std::string parts_from_;  // address of the engine whose copy of the parts is to be fetched
   TimePoint give_up_at_{};
 
   Phase phase_ = Phase::kPlacing;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -51,6 +51,7 @@
   Duration cold_start{};       // how long an upstream stays cold after its start
   double cold_per_second = 0;  // requests that a cold upstream bears; 0 for no limit
   bool is_engine = false;      // batches prompts and caches their parts
+  bool shares_cache = false;   // its engines can copy cached parts from each other
 };
 
 // Bounds on what callers may send.
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -177,6 +177,30 @@
   return choice;
 }
 
+const KnownUpstream* PartSource(UpstreamSet& upstreams,
+                                const std::vector<std::uint32_t>& holders,
+                                const KnownUpstream& target,
+                                TimePoint now) {
+  if (std::find(holders.begin(), holders.end(), target.tag) != holders.end()) {
+    return nullptr;
+  }
+  const KnownUpstream* best = nullptr;
+  for (const std::uint32_t tag : holders) {
+    const KnownUpstream* holder = upstreams.FindByTag(tag);
+    const bool reachable = holder != nullptr && !holder->removed && !holder->lapsed &&
+                           holder->avoid_until <= now && FailureRate(*holder, now) < kFailingRate &&
+                           holder->entry.service == target.entry.service;
+    // Copies between data centres take twice as long.
+    const bool nearer = best == nullptr ||
+                        (best->entry.data_centre != target.entry.data_centre && holder != nullptr &&
+                         holder->entry.data_centre == target.entry.data_centre);
+    if (reachable && nearer) {
+      best = holder;
+    }
+  }
+  return best;
+}
+
 void NoteSend(KnownUpstream& upstream, TimePoint now) {
   if (now < upstream.cold_until) {
     upstream.cold_sends.push_back(now);
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -73,6 +73,13 @@
                       const ChoiceLimits& limits,
                       TimePoint now);
 
+// Returns an engine from which `target` can copy the shared parts that it lacks, or null when it
+// has read them itself or none that has can be reached. One that drains still answers copies.
+const KnownUpstream* PartSource(UpstreamSet& upstreams,
+                                const std::vector<std::uint32_t>& holders,
+                                const KnownUpstream& target,
+                                TimePoint now);
+
 // Notes that a request is sent to an upstream now.
 void NoteSend(KnownUpstream& upstream, TimePoint now);
 
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -101,7 +101,7 @@
     config.version = 3;
     config.keys_required = true;
     config.workspace_of_key["key"] = "gusseisen";
-    config.services.push_back({"engines", 0, seconds(1), 0, false});
+    config.services.push_back({"engines", 0, seconds(1), 0, false, false});
     config.routes = {MakeRoute("/read/", WorkKind::kIdempotent, 2),
                      MakeRoute("/book/", WorkKind::kAtMostOnce, 1),
                      MakeRoute("/chat/", WorkKind::kStream, 2)};
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -85,6 +85,31 @@
   }
 }
 
+TEST_CASE("An engine that lacks a part copies it from one that has read it") {
+  UpstreamSet upstreams;
+  AddEngines(upstreams, 4);
+  KnownUpstream& target = *upstreams.Find("engine-0");
+  KnownUpstream& far = *upstreams.Find("engine-1");
+  KnownUpstream& near = *upstreams.Find("engine-2");
+
+  SECTION("from the nearer one") {
+    CHECK(PartSource(upstreams, {far.tag, near.tag}, target, kStart) == &near);
+    CHECK(PartSource(upstreams, {near.tag, far.tag}, target, kStart) == &near);
+  }
+  SECTION("one that drains still has it") {
+    far.leaving = true;
+    CHECK(PartSource(upstreams, {far.tag}, target, kStart) == &far);
+  }
+  SECTION("not from one that is gone or can't be reached") {
+    far.removed = true;
+    near.avoid_until = kStart + seconds(1);
+    CHECK(PartSource(upstreams, {far.tag, near.tag}, target, kStart) == nullptr);
+  }
+  SECTION("not when it has read the part itself") {
+    CHECK(PartSource(upstreams, {target.tag, near.tag}, target, kStart) == nullptr);
+  }
+}
+
 // Load: many instances send short calls, and each hears of the others' loads only now and then. If
 // all took the least loaded upstream, they would fill it together until the next digests.
 TEST_CASE("Instances with old loads don't fill one upstream together") {
