Give silent upstreams nothing more until they are heard

Ruled out: a shorter limit on unacknowledged bytes; a short cut of a link would break streams. Change: an upstream that owes an answer for 0.9 s is left out while others can take the request, and tried again with one request after 3 s. The stop margin is 0.9 s.

--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -59,7 +59,7 @@
 constexpr Duration kKeyMargin = milliseconds(400);
 
 // A stopping process ends this long before it would be killed.
-constexpr Duration kStopMargin = milliseconds(500);
+constexpr Duration kStopMargin = milliseconds(900);
 
 const std::vector<Row>& Table() {
   static const std::vector<Row> table = {
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -199,7 +199,7 @@
   upstream_id_ = upstream.entry.id;
   tried_.insert(upstream_id_);
   load_at_send_ = upstream.own_load + upstream.peer_load;
-  ++upstream.own_load;
+  relay_.upstreams().OnSent(upstream, now);
   NoteSend(upstream, now);
   parts_from_.clear();
   if (affinity_ != 0) {
@@ -297,6 +297,9 @@
 }
 
 void RelayCall::OnHead(AnswerHead answer) {
+  if (KnownUpstream* upstream = relay_.upstreams().Find(upstream_id_)) {
+    relay_.upstreams().OnHeard(*upstream, BootTimeNow());
+  }
   const HeaderNames& names = relay_.names();
   if (!answer.head.Field(names.not_run).empty()) {
     EndAttempt(AttemptEnd::kDeclined, std::to_string(answer.head.status));
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -160,6 +160,13 @@
     }
     return choice;
   }
+  // Silent ones are left out while any other can take the request.
+  const auto silent = std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [now](const KnownUpstream* candidate) { return !IsSilent(*candidate, now); });
+  if (silent != candidates.begin()) {
+    candidates.erase(silent, candidates.end());
+  }
   if (query.affinity != 0) {
     const double mean = total / static_cast<double>(usable.size());
     choice.upstream =
--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -155,6 +155,23 @@
   upstream.cold_until = std::max(upstream.cold_until, upstream.avoid_until + cold_start);
 }
 
+bool IsSilent(const KnownUpstream& upstream, TimePoint now) {
+  return upstream.unanswered_since != TimePoint{} &&
+         upstream.unanswered_since + kSilenceDoubt < now &&
+         now <= upstream.unanswered_since + kSilenceRetry;
+}
+
+void UpstreamSet::OnSent(KnownUpstream& upstream, TimePoint now) {
+  ++upstream.own_load;
+  if (upstream.unanswered_since == TimePoint{} || upstream.unanswered_since + kSilenceRetry < now) {
+    upstream.unanswered_since = now;
+  }
+}
+
+void UpstreamSet::OnHeard(KnownUpstream& upstream, TimePoint) {
+  upstream.unanswered_since = {};
+}
+
 void UpstreamSet::OnAnswer(KnownUpstream& upstream, bool failed, TimePoint now) {
   const double rate = FailureRate(upstream, now);
   upstream.failure_rate = rate + kFailureWeight * ((failed ? 1.0 : 0.0) - rate);
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -38,6 +38,7 @@
   int peer_load = 0;         // requests of the other instances, by their last messages
   double failure_rate = 0;   // moving share of failed requests
   TimePoint failure_rate_at{};
+  TimePoint unanswered_since{};  // first send since it was last heard; zero when it owes nothing
   std::deque<TimePoint> cold_sends;  // of the last second, while cold
 };
 
@@ -81,6 +82,10 @@
   // each failure in a row, and taken for cold when it comes back.
   void OnConnectFailed(KnownUpstream& upstream, Duration cold_start, TimePoint now);
 
+  // A request was sent to the upstream; bytes came from it.
+  void OnSent(KnownUpstream& upstream, TimePoint now);
+  void OnHeard(KnownUpstream& upstream, TimePoint now);
+
   // An answer of the upstream ended; `failed` tells whether it was a failure of the upstream.
   void OnAnswer(KnownUpstream& upstream, bool failed, TimePoint now);
 
@@ -108,6 +113,16 @@
 // Short name of an upstream in messages between instances.
 std::uint32_t UpstreamTag(const UpstreamId& id);
 
+// True for an upstream that has said nothing for kSilenceDoubt though a request waits for its
+// answer: it may have gone dark, which its list entry shows only seconds later.
+bool IsSilent(const KnownUpstream& upstream, TimePoint now);
+
+// Longest usual time to the first byte of an answer, twice over.
+inline constexpr Duration kSilenceDoubt = milliseconds(900);
+
+// A silent upstream is tried again with one request this long after the send that wasn't answered.
+inline constexpr Duration kSilenceRetry = seconds(3);
+
 // Failure rate now: it decays while no answers come, so that a recovered upstream is tried again.
 double FailureRate(const KnownUpstream& upstream, TimePoint now);
 
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -152,6 +152,34 @@
       CHECK(ChooseUpstream(upstreams, query, limits, kStart).upstream == &sound);
     }
   }
+  // gge-chiverail trouble-3: workers went dark, and each request sent to them was lost until the
+  // connections timed out after 2.5 s.
+  SECTION("one that owes an answer and has gone silent gets nothing more until it is heard") {
+    upstreams.OnSent(other, kStart);
+    const TimePoint later = kStart + kSilenceDoubt + milliseconds(1);
+    for (std::uint64_t part = 1; part < 20; ++part) {
+      CHECK(ChooseUpstream(upstreams, Query(part), limits, later).upstream == &sound);
+    }
+    SECTION("but it is tried again in a while, since the request may have been lost alone") {
+      const TimePoint retry = kStart + kSilenceRetry + milliseconds(1);
+      ChoiceQuery query = Query(1);
+      query.holders = {other.tag};
+      CHECK(ChooseUpstream(upstreams, query, limits, retry).upstream == &other);
+      upstreams.OnSent(other, retry);
+      const TimePoint doubt = retry + kSilenceDoubt + milliseconds(1);
+      CHECK(ChooseUpstream(upstreams, query, limits, doubt).upstream == &sound);
+    }
+    SECTION("unless all are silent") {
+      upstreams.OnSent(sound, kStart);
+      CHECK(ChooseUpstream(upstreams, Query(1), limits, later).upstream != nullptr);
+    }
+    SECTION("and after it is heard it is used again") {
+      upstreams.OnHeard(other, later);
+      ChoiceQuery query = Query(1);
+      query.holders = {other.tag};
+      CHECK(ChooseUpstream(upstreams, query, limits, later).upstream == &other);
+    }
+  }
   SECTION("full ones take nothing more, and the caller learns that all are full") {
     sound.own_load = 60;
     other.peer_load = 60;
