--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -185,6 +185,7 @@
 void RelayCall::WaitForPlace(ChoiceOutcome outcome, TimePoint now) {
   const TimePoint latest = request_.received + route_->objective / kWaitShare;
   last_fault_ = std::string(NameOf(kChoiceOutcomeNames, outcome));
+  no_upstream_ = outcome == ChoiceOutcome::kNoUpstream;
   if (outcome == ChoiceOutcome::kNoUpstream || latest <= now) {
     AnswerUpstreamFailure(AttemptEnd::kNotConnected);
     return;
@@ -298,7 +299,7 @@
 
 void RelayCall::OnHead(AnswerHead answer) {
   if (KnownUpstream* upstream = relay_.upstreams().Find(upstream_id_)) {
-    relay_.upstreams().OnHeard(*upstream, BootTimeNow());
+    relay_.upstreams().OnHeard(*upstream);
   }
   const HeaderNames& names = relay_.names();
   if (!answer.head.Field(names.not_run).empty()) {
@@ -486,8 +487,7 @@
     return;
   }
   const Duration spread = milliseconds(relay_.Random() % kRetryAfterSpreadMs);
-  const bool none = last_fault_ == NameOf(kChoiceOutcomeNames, ChoiceOutcome::kNoUpstream);
-  Refuse(503, last_fault_, (none ? kNoUpstreamRetry : kRetryAfterBase) + spread);
+  Refuse(503, last_fault_, (no_upstream_ ? kNoUpstreamRetry : kRetryAfterBase) + spread);
 }
 
 void RelayCall::Refuse(int status, std::string_view reason, Duration retry_after) {
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -108,6 +108,7 @@
   bool events_relayed_ = false;
   int load_at_send_ = 0;
   std::string last_fault_;
+  bool no_upstream_ = false;  // the last look for a place found no upstream at all
 
   boost::asio::steady_timer timer_;
   TimePoint timer_at_{};
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -254,7 +254,6 @@
     }
     connection->Close();
   }
-  ++opened_;
   return std::make_shared<UpstreamConnection>(io_, address);
 }
 
--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -117,13 +117,9 @@
   // Closes connections that have been idle for too long.
   void Expire();
 
-  // Connections opened so far.
-  std::uint64_t opened() const { return opened_; }
-
  private:
   boost::asio::io_context& io_;
   std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace chiverail
--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -168,7 +168,7 @@
   }
 }
 
-void UpstreamSet::OnHeard(KnownUpstream& upstream, TimePoint) {
+void UpstreamSet::OnHeard(KnownUpstream& upstream) {
   upstream.unanswered_since = {};
 }
 
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -84,7 +84,7 @@
 
   // A request was sent to the upstream; bytes came from it.
   void OnSent(KnownUpstream& upstream, TimePoint now);
-  void OnHeard(KnownUpstream& upstream, TimePoint now);
+  void OnHeard(KnownUpstream& upstream);
 
   // An answer of the upstream ended; `failed` tells whether it was a failure of the upstream.
   void OnAnswer(KnownUpstream& upstream, bool failed, TimePoint now);
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -174,7 +174,7 @@
       CHECK(ChooseUpstream(upstreams, Query(1), limits, later).upstream != nullptr);
     }
     SECTION("and after it is heard it is used again") {
-      upstreams.OnHeard(other, later);
+      upstreams.OnHeard(other);
       ChoiceQuery query = Query(1);
       query.holders = {other.tag};
       CHECK(ChooseUpstream(upstreams, query, limits, later).upstream == &other);
