Hold the ports of the gateway tests until all are found

Cause: five free ports were asked for one after the other and each was let go at once, so the system could name one twice; not seen in a run, found on reading. Change: the test holds all five until the last one is found.

--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -22,10 +22,15 @@
 WAIT_S = 10  # longest time for anything that should happen soon
 
 
-def free_port():
-    with socket.socket() as probe:
+def free_ports(count):
+    """Different free ports: all are held until the last one is found."""
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
         probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 def wait_until(condition, what):
@@ -179,7 +184,7 @@
 
 class Gateway:
     def __init__(self, name, store, seeds="", withdrawal_ms=5000):
-        ports = [free_port() for _ in range(5)]
+        ports = free_ports(5)
         self.front, self.ready, self.directory, self.metrics, self.peer = ports
         self.settings = {"instance_id": name, "data_centre": "west", "platform_address": store.address,
                          "caller_address": "127.0.0.1:%d" % self.front,
