--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build test demo bench lint format clean
+.PHONY: all install build test soak demo bench lint format clean
 
 all: build
 
@@ -16,6 +16,10 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure
 
+SEEDS ?= 1-50
+soak: build
+	@python3 tests/soak.py $(BUILD) $(SEEDS) --jobs 4
+
 demo: build
 	@python3 scripts/demo.py $(BUILD)
 
