Split RelayCall, log what decided with its age, test each kind of line

Lines of the log lacked the age of the list of upstreams, the class and the number of upstreams weighed.

A test reads the lines of each kind of decision and checks their inputs, for the relay and for the adapter's process.

The stand-ins take ports below the range of outgoing connections: a soak run ended when another process's connection had taken the port of a restarted gateway (bind: address in use).

--- /dev/null
+++ b/src/relay_answer.cc
@@ -0,0 +1,311 @@
+// The way back of a request: the upstream's answer, failures and the end.
+
+#include <algorithm>
+#include <utility>
+
+#include <spdlog/fmt/fmt.h>
+#include <nlohmann/json.hpp>
+
+#include "relay_call.h"
+
+namespace chiverail {
+namespace {
+
+// Whole answers up to this size are kept until they are complete, so that a cut one can still be
+// replaced by another upstream's.
+constexpr std::size_t kMaxBufferedAnswer = 64 * 1024;
+
+// A caller that takes its answer slowly stops its upstream at this many bytes.
+constexpr std::size_t kMaxUnsentBytes = 128 * 1024;
+
+// Added to the time to return while no upstream of the service is left: engines that have restarted
+// are listed again after about a second.
+constexpr Duration kNoUpstreamRetry = milliseconds(500);
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+// Age of what a decision went by; null when it wasn't known at all.
+nlohmann::json AgeMs(TimePoint now, TimePoint known_at) {
+  return known_at == TimePoint{} ? nlohmann::json() : nlohmann::json(Milliseconds(now - known_at));
+}
+
+std::vector<HttpHeader> AnswerFields(const MessageHead& head) {
+  const std::string_view connection = head.Field("Connection");
+  std::vector<HttpHeader> fields;
+  for (const HttpHeader& field : head.fields) {
+    if (!IsConnectionField(field.first, connection)) {
+      fields.push_back(field);
+    }
+  }
+  return fields;
+}
+
+}  // namespace
+
+void RelayCall::OnEvent(AnswerEvent event) {
+  const auto self = shared_from_this();
+  struct Visitor {
+    RelayCall& call;
+    void operator()(AnswerHead& head) { call.OnHead(std::move(head)); }
+    void operator()(AnswerBody& body) { call.OnBody(std::move(body)); }
+    void operator()(AnswerEnd&) { call.OnEnd(); }
+    void operator()(AnswerBroken& broken) {
+      call.EndAttempt(broken.sent ? AttemptEnd::kBroken : AttemptEnd::kNotConnected, broken.reason);
+    }
+  };
+  std::visit(Visitor{*this}, event);
+}
+
+void RelayCall::OnHead(AnswerHead answer) {
+  if (KnownUpstream* upstream = relay_.upstreams().Find(upstream_id_)) {
+    relay_.upstreams().OnHeard(*upstream);
+  }
+  const HeaderNames& names = relay_.names();
+  if (!answer.head.Field(names.not_run).empty()) {
+    EndAttempt(AttemptEnd::kDeclined, std::to_string(answer.head.status));
+    return;
+  }
+  if (answer.head.status == 421) {
+    EndAttempt(AttemptEnd::kWrongUpstream, "another upstream has the address");
+    return;
+  }
+  const bool success = answer.head.status >= 200 && answer.head.status < 300;
+  if (answer.head.Field(names.seal).empty() || answer.head.Field(names.request_id) != id_) {
+    EndAttempt(AttemptEnd::kBroken, "an answer that isn't the upstream's own");
+    return;
+  }
+  if (caller_->answer_started() && !success) {
+    EndAttempt(AttemptEnd::kBroken,
+               "the stream could not go on: " + std::to_string(answer.head.status));
+    return;
+  }
+  head_ = std::move(answer.head);
+  first_byte_at_ = BootTimeNow();
+  if (success && route_->kind == WorkKind::kStream) {
+    phase_ = Phase::kRelaying;
+    return;
+  }
+  phase_ = Phase::kBuffering;
+}
+
+void RelayCall::StartRelaying(BodyFraming framing) {
+  if (caller_->answer_started()) {
+    return;
+  }
+  caller_->StartAnswer(head_->status, head_->reason, AnswerFields(*head_), framing,
+                       head_->body_length.value_or(0));
+}
+
+void RelayCall::OnBody(AnswerBody body) {
+  if (route_->kind == WorkKind::kStream && phase_ == Phase::kRelaying) {
+    const std::string events = events_.Take(body.bytes);
+    if (!events.empty()) {
+      StartRelaying(BodyFraming::kChunked);
+      events_relayed_ = true;
+      if (patient_until_ != TimePoint{}) {
+        patient_until_ = BootTimeNow() + EventPatience();
+      }
+      RelayBody(events);
+    }
+    return;
+  }
+  if (phase_ == Phase::kBuffering) {
+    buffer_.append(body.bytes);
+    if (buffer_.size() > kMaxBufferedAnswer) {
+      phase_ = Phase::kRelaying;
+      StartRelaying(head_->body_length ? BodyFraming::kLength : BodyFraming::kChunked);
+      RelayBody(std::exchange(buffer_, {}));
+    }
+    return;
+  }
+  RelayBody(body.bytes);
+}
+
+void RelayCall::RelayBody(std::string_view bytes) {
+  caller_->SendBody(bytes);
+  if (caller_->unsent() <= kMaxUnsentBytes || !connection_) {
+    return;
+  }
+  connection_->PauseReading();
+  caller_->OnDrained([connection = std::weak_ptr<UpstreamConnection>(connection_)] {
+    if (const auto paused = connection.lock()) {
+      paused->ResumeReading();
+    }
+  });
+}
+
+void RelayCall::OnEnd() {
+  const int status = head_->status;
+  const auto connection = std::exchange(connection_, nullptr);
+  relay_.pool().GiveBack(connection);
+  const TimePoint now = BootTimeNow();
+  const bool repeat = phase_ == Phase::kBuffering && status >= 500 && Repeatable() &&
+                      MaySendAgain(AttemptEnd::kFailedAnswer, runs_ + 1, now) &&
+                      relay_.BudgetFor(service_name_).Allows(now);
+  if (repeat) {
+    EndAttempt(AttemptEnd::kFailedAnswer, std::to_string(status));
+    return;
+  }
+  if (phase_ == Phase::kRelaying && route_->kind == WorkKind::kStream) {
+    StartRelaying(BodyFraming::kChunked);
+    RelayBody(events_.rest());
+  } else if (phase_ == Phase::kBuffering) {
+    caller_->StartAnswer(status, head_->reason, AnswerFields(*head_), BodyFraming::kLength,
+                         buffer_.size());
+    caller_->SendBody(buffer_);
+  }
+  ReleaseUpstream(status >= 500);
+  caller_->EndAnswer();
+  Finish("answered", status);
+}
+
+void RelayCall::ReleaseUpstream(bool failed) {
+  relay_.Shares(service_name_).OnDone(class_, workspace_);
+  KnownUpstream* upstream = relay_.upstreams().Find(upstream_id_);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->own_load = std::max(0, upstream->own_load - 1);
+  relay_.upstreams().OnAnswer(*upstream, failed, BootTimeNow());
+  relay_.ServeWaiting(service_name_);
+}
+
+void RelayCall::EndAttempt(AttemptEnd end, const std::string& reason) {
+  const TimePoint now = BootTimeNow();
+  last_fault_ = std::string(NameOf(kAttemptEndNames, end)) + ": " + reason;
+  if (connection_) {
+    std::exchange(connection_, nullptr)->Close();
+  }
+  const bool ran = MayHaveRun(end);
+  may_have_run_ = may_have_run_ || ran;
+  runs_ += ran ? 1 : 0;
+  sends_ -= end == AttemptEnd::kNotConnected ? 1 : 0;
+  ReleaseUpstream(ran);
+  if (KnownUpstream* upstream = relay_.upstreams().Find(upstream_id_)) {
+    if (end == AttemptEnd::kNotConnected) {
+      relay_.upstreams().OnConnectFailed(
+          *upstream, service_ == nullptr ? Duration{} : service_->cold_start, now);
+    } else if (end == AttemptEnd::kWrongUpstream) {
+      relay_.upstreams().OnReplaced(*upstream);
+    } else if (end == AttemptEnd::kSilent || end == AttemptEnd::kBroken) {
+      relay_.pool().Drop(upstream->entry.address);
+    }
+  }
+  events_.DropRest();
+  buffer_.clear();
+  if (!MaySendAgain(end, runs_, now)) {
+    AnswerUpstreamFailure(end);
+    return;
+  }
+  if (end != AttemptEnd::kNotConnected && !relay_.BudgetFor(service_name_).TrySpend(now)) {
+    last_fault_ += " (retry budget spent)";
+    relay_.metrics().Add(Counter::kRetriesRefused);
+    AnswerUpstreamFailure(end);
+    return;
+  }
+  relay_.metrics().Add(Counter::kRetries);
+  relay_.log().Write(Decision::kSendAgain, {{"request", id_},
+                                            {"from", upstream_id_},
+                                            {"why", last_fault_},
+                                            {"after_event", events_.last_id()},
+                                            {"sends", sends_}});
+  phase_ = Phase::kPlacing;
+  Place();
+}
+
+bool RelayCall::MaySendAgain(AttemptEnd end, int runs, TimePoint now) const {
+  SendState state;
+  state.kind = route_->kind;
+  state.resumable = route_->resumable;
+  state.attempts = route_->attempts;
+  state.sends = sends_;
+  state.runs = runs;
+  state.answer_started = caller_->answer_started();
+  state.has_event = !events_.last_id().empty();
+  state.time_left = give_up_at_ - now;
+  return chiverail::MaySendAgain(end, state);
+}
+
+void RelayCall::AnswerUpstreamFailure(AttemptEnd end) {
+  if (caller_->answer_started()) {
+    caller_->Abort();
+    Finish("cut", 0);
+    return;
+  }
+  const int status = FailureStatus(end, may_have_run_);
+  if (may_have_run_) {
+    Refuse(status, last_fault_, {});
+    return;
+  }
+  const Duration back = relay_.Queue(service_name_).ReturnAfter(relay_.Random(), BootTimeNow());
+  Refuse(status, last_fault_, no_upstream_ ? kNoUpstreamRetry + back : back);
+}
+
+void RelayCall::Refuse(int status, std::string_view reason, Duration retry_after) {
+  std::vector<HttpHeader> fields;
+  if (!id_.empty()) {
+    fields.emplace_back(relay_.names().request_id, id_);
+  }
+  if (retry_after > Duration::zero()) {
+    fields.emplace_back(relay_.names().retry_after,
+                        fmt::format("{:.3f}", std::chrono::duration<double>(retry_after).count()));
+  }
+  fields.emplace_back("Content-Type", "text/plain");
+  last_fault_ = std::string(reason);
+  caller_->Respond(status, {}, fields, std::string(reason) + "\n");
+  Finish("refused", status);
+}
+
+void RelayCall::OnCallerGone() {
+  if (connection_) {
+    std::exchange(connection_, nullptr)->Close();
+    ReleaseUpstream(false);
+  }
+  Finish("caller_left", 0);
+}
+
+void RelayCall::Finish(std::string_view outcome, int status) {
+  phase_ = Phase::kDone;
+  LeaveQueue();
+  timer_.cancel();
+  caller_->OnGone(nullptr);
+  const TimePoint now = BootTimeNow();
+  const bool failed = outcome != "answered";
+  relay_.metrics().Add(Counter::kRequests, 1, std::string(outcome));
+  relay_.metrics().Observe(Summary::kRequestSeconds, now - request_.received);
+  if (first_byte_at_ != TimePoint{}) {
+    relay_.metrics().Observe(Summary::kFirstTokenSeconds, first_byte_at_ - request_.received);
+  }
+  nlohmann::json line{{"request", id_},
+                      {"outcome", outcome},
+                      {"status", status},
+                      {"route", route_ == nullptr ? "" : route_->name},
+                      {"workspace", workspace_},
+                      {"config", table_ ? table_->version() : 0},
+                      {"config_age_ms", AgeMs(now, relay_.config_confirmed_at())},
+                      {"list_age_ms", AgeMs(now, relay_.upstreams().list_as_of())},
+                      {"class", NameOf(kRequestClassNames, class_)},
+                      {"usable", usable_},
+                      {"upstream", upstream_id_},
+                      {"load", load_at_send_},
+                      {"sends", sends_},
+                      {"runs", runs_},
+                      {"ms", Milliseconds(now - request_.received)}};
+  if (!parts_from_.empty()) {
+    line["parts_from"] = parts_from_;
+  }
+  if (waits_since_ != TimePoint{}) {
+    line["waited_ms"] = Milliseconds((sent_at_ == TimePoint{} ? now : sent_at_) - waits_since_);
+  }
+  if (first_byte_at_ != TimePoint{}) {
+    line["first_ms"] = Milliseconds(first_byte_at_ - request_.received);
+  }
+  if (failed || !last_fault_.empty()) {
+    line["why"] = last_fault_;
+  }
+  relay_.log().Write(Decision::kRequest, line);
+}
+
+}  // namespace chiverail
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -12,6 +12,7 @@
 #include "caller_connection.h"
 #include "event_splitter.h"
 #include "relay.h"
+#include "send_rules.h"
 #include "upstream_request.h"
 
 namespace chiverail {
@@ -34,24 +35,6 @@
   // Where the request stands.
   enum class Phase : std::uint8_t { kPlacing, kAwaitingHead, kBuffering, kRelaying, kDone };
 
-  // How an attempt at an upstream has ended, short of a whole answer.
-  enum class AttemptEnd : std::uint8_t {
-    kNotConnected,   // nothing was sent
-    kDeclined,       // the upstream says that it didn't run the request
-    kWrongUpstream,  // another upstream has the address
-    kBroken,         // cut or spoilt after the request was sent; it may have run
-    kSilent,         // no answer, or no event, within the patience
-    kFailedAnswer,   // a whole answer that says failure
-  };
-  static constexpr std::array<EnumName<AttemptEnd>, 6> kAttemptEndNames{{
-      {AttemptEnd::kNotConnected, "not_connected"},
-      {AttemptEnd::kDeclined, "declined"},
-      {AttemptEnd::kWrongUpstream, "wrong_upstream"},
-      {AttemptEnd::kBroken, "broken"},
-      {AttemptEnd::kSilent, "silent"},
-      {AttemptEnd::kFailedAnswer, "failed_answer"},
-  }};
-
   bool Check(TimePoint now);
   bool CheckKey(TimePoint now);
   void ReadDeadline();
@@ -73,10 +56,13 @@
   // Ends the attempt and either sends the request again or answers the caller.
   void EndAttempt(AttemptEnd end, const std::string& reason);
   // `runs` counts the attempt that has ended, if it may have run.
-  bool MaySendAgain(AttemptEnd end, int runs, TimePoint now);
+  bool MaySendAgain(AttemptEnd end, int runs, TimePoint now) const;
   void ReleaseUpstream(bool failed);
   bool Repeatable() const;
 
+  // Silence after which a resumable stream goes on elsewhere.
+  Duration EventPatience() const;
+
   void AnswerUpstreamFailure(AttemptEnd end);
   void Refuse(int status, std::string_view reason, Duration retry_after);
   void Finish(std::string_view outcome, int status);
@@ -115,6 +101,7 @@
   EventSplitter events_;
   bool events_relayed_ = false;
   int load_at_send_ = 0;
+  std::size_t usable_ = 0;  // upstreams among which it was placed last
   std::string last_fault_;
   std::uint32_t ticket_ = 0;  // tells requests with the same id apart in the queue
   bool waits_in_queue_ = false;
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -63,6 +63,9 @@
   // Operators have taken a data centre out, or put it back.
   void SetDataCentresOut(std::set<DataCentreId> out) { out_ = std::move(out); }
 
+  // When the list was last known to be the platform's; zero before it was read.
+  TimePoint list_as_of() const { return list_as_of_; }
+
   // Drops upstreams whose grace has passed and that hold no request.
   void Expire(TimePoint now);
 
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import socket
 import subprocess
 import tempfile
@@ -18,10 +19,17 @@
 
 
 def free_ports(count):
-    """Different free ports: all are held until the last one is found."""
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("127.0.0.1", 0))
+    """Different free ports, all held until the last one is found. They lie below the range from which the system
+    takes ports for outgoing connections, so that a process can bind to them again after a restart."""
+    chance = random.SystemRandom()
+    probes = []
+    while len(probes) < count:
+        probe = socket.socket()
+        try:
+            probe.bind(("127.0.0.1", chance.randrange(10240, 32000)))
+            probes.append(probe)
+        except OSError:
+            probe.close()
     ports = [probe.getsockname()[1] for probe in probes]
     for probe in probes:
         probe.close()
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -98,6 +98,29 @@
         self.assertEqual(answers[0][1].count(b"data: x"), 20)
         self.assertEqual(gateway.process.wait(WAIT_S), 0)
 
+    def test_each_process_logs_what_it_learns_of_its_surroundings(self):
+        gateway = self.serving()
+        self.store.put("servers", "i-1", self.entry("draining"))
+        self.store.delete("servers", "i-1")
+
+        def last(event, **fields):
+            lines = [line for line in gateway.lines() if line["event"] == event
+                     and all(line.get(name) == value for name, value in fields.items())]
+            return lines[-1] if lines else None
+
+        wait_until(lambda: last("upstream", upstream="i-1", outcome="gone"), "the worker's end is logged")
+        self.assertEqual(last("config", version=2)["before"], 0)
+        self.assertEqual(last("start")["data_centre"], "west")
+        self.store.down = True
+        wait_until(lambda: last("dependency", table="op", outcome="lost"), "the loss of the store is logged")
+        self.assertEqual(last("dependency", table="op", outcome="lost")["dependency"], "store")
+        self.assertIn("why", last("dependency", table="op", outcome="lost"))
+        self.store.down = False
+        wait_until(lambda: last("dependency", table="op", outcome="back"), "its return is logged")
+        gateway.process.send_signal(signal.SIGTERM)
+        gateway.process.wait(WAIT_S)
+        self.assertEqual(last("stop", outcome="left")["cut_requests"], 0)
+
     def test_a_reload_with_bad_settings_keeps_the_former_ones(self):
         gateway = self.serving()
         gateway.settings["retry_ratio"] = 7
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -1,14 +1,15 @@
 #ifndef CHIVERAIL_TESTS_RELAY_FIXTURE_H_
 #define CHIVERAIL_TESTS_RELAY_FIXTURE_H_
 
-#include <fcntl.h>
-
+#include <cstdio>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include "relay.h"
 
@@ -74,8 +75,8 @@
   static constexpr int kPort = 18431;  // the relay's; upstreams take the ports after it
 
   RelayFixture()
-      : null_(open("/dev/null", O_WRONLY)),
-        log_(io, "front-1", null_, {}),
+      : log_file_(std::tmpfile()),
+        log_(io, "front-1", fileno(log_file_), {}),
         relay(io, "front-1", "west", Names(), Limits(), log_, metrics),
         front_(io,
                "127.0.0.1:" + std::to_string(kPort),
@@ -83,6 +84,29 @@
                  relay.Handle(caller, std::move(request));
                }) {}
 
+  ~RelayFixture() { std::fclose(log_file_); }
+  RelayFixture(const RelayFixture&) = delete;
+  RelayFixture& operator=(const RelayFixture&) = delete;
+
+  // Lines of the decision log about one kind of decision.
+  std::vector<nlohmann::json> Lines(const std::string& event) {
+    log_.Flush();
+    std::rewind(log_file_);
+    std::vector<nlohmann::json> lines;
+    std::string text;
+    for (int c = std::fgetc(log_file_); c != EOF; c = std::fgetc(log_file_)) {
+      if (c != '\n') {
+        text.push_back(static_cast<char>(c));
+        continue;
+      }
+      nlohmann::json line = nlohmann::json::parse(std::exchange(text, {}));
+      if (line["event"] == event) {
+        lines.push_back(std::move(line));
+      }
+    }
+    return lines;
+  }
+
   static HeaderNames Names() {
     HeaderNames names;
     names.reserved = {"System-Only"};
@@ -193,7 +217,7 @@
     return route;
   }
 
-  int null_;
+  std::FILE* log_file_;
   DecisionLog log_;
 
  public:
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -233,6 +233,79 @@
   }
 }
 
+// On-call engineers have the log only: a line without the inputs of a decision explains nothing.
+TEST_CASE("Lines of the log carry what decided") {
+  RelayFixture fixture;
+
+  SECTION("that no configuration was known") {
+    fixture.Ask(RelayFixture::Request("/read/"));
+    const auto lines = fixture.Lines("request");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["why"] == "no configuration yet");
+    CHECK(lines[0]["config_age_ms"].is_null());
+  }
+  fixture.Configure();
+
+  SECTION("a configuration that came into force, with the version before it") {
+    const auto lines = fixture.Lines("config");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["version"] == 3);
+    CHECK(lines[0]["before"] == 0);
+  }
+  SECTION("where a request was placed, and by what knowledge of which age") {
+    fixture.AddUpstream("up-1", FakeUpstream::Succeed);
+    fixture.relay.upstreams().OnListAnswered(BootTimeNow(), BootTimeNow());
+    fixture.Ask(RelayFixture::Request("/read/"));
+    const auto lines = fixture.Lines("request");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["request"] == "r1");
+    CHECK(lines[0]["outcome"] == "answered");
+    CHECK(lines[0]["upstream"] == "up-1");
+    CHECK(lines[0]["usable"] == 1);
+    CHECK(lines[0]["load"] == 0);
+    CHECK(lines[0]["class"] == "interactive");
+    CHECK(lines[0]["config"] == 3);
+    CHECK(lines[0]["config_age_ms"].get<int>() < 1000);
+    CHECK(lines[0]["list_age_ms"].get<int>() < 1000);
+    CHECK(lines[0]["workspace"] == "gusseisen");
+  }
+  SECTION("that it was sent again, from where and why") {
+    fixture.AddUpstream("up-1", Decline);
+    fixture.AddUpstream("up-2", Decline);
+    fixture.Ask(RelayFixture::Request("/book/"));
+    const auto lines = fixture.Lines("send_again");
+    REQUIRE(lines.size() >= 1);
+    CHECK(lines[0]["request"] == "r1");
+    CHECK(lines[0]["why"] == "declined: 503");
+    CHECK(lines[0]["from"].get<std::string>().substr(0, 3) == "up-");
+  }
+  SECTION("that it was refused, with the state of the queue") {
+    fixture.AddUpstream("up-1", Hang);
+    std::vector<CallerView> views(13);
+    std::vector<std::shared_ptr<UpstreamConnection>> callers;
+    for (CallerView& view : views) {
+      callers.push_back(fixture.Send(RelayFixture::Request("/book/"), view));
+    }
+    REQUIRE(fixture.RunUntil([&] { return !fixture.Lines("request").empty(); }));
+    const auto line = fixture.Lines("request").front();
+    CHECK(line["status"] == 503);
+    CHECK(line["why"] == "all_full (waited_too_long, 0 waiting)");
+    CHECK(line["waited_ms"].get<int>() >= 20);
+    for (const auto& caller : callers) {
+      caller->Close();
+    }
+  }
+  SECTION("that its caller left") {
+    FakeUpstream& upstream = fixture.AddUpstream("up-1", Hang);
+    CallerView view;
+    const auto caller = fixture.Send(RelayFixture::Request("/book/"), view);
+    REQUIRE(fixture.RunUntil([&] { return upstream.requests().size() == 1; }));
+    caller->Close();
+    REQUIRE(fixture.RunUntil([&] { return !fixture.Lines("request").empty(); }));
+    CHECK(fixture.Lines("request").front()["outcome"] == "caller_left");
+  }
+}
+
 TEST_CASE("A caller that leaves ends the work for it") {
   RelayFixture fixture;
   fixture.Configure();
