Count refusals, routes, placements and waiting in metrics; name what placed

Cause: the metrics of the gateway told only outcomes and times. On-call engineers couldn't see which cause of refusal grows, on which route, or whether requests wait.

Change: counters of refusals by cause, of requests and failures by route (64 series at most), of placements by what decided; the time spent waiting, the number that waits and the age of the configuration. The line of a request names what placed it.

A run of three test cases hung at its exit for ten minutes: the tests' Hang handler kept connections in a static object that was destroyed after their io_context (traced with a debugger; the lock of a freed socket). The fake upstream now keeps them itself.

--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -55,6 +55,12 @@
     {Counter::kCallsInDoubt, "chiverail_calls_in_doubt_total", "", "Calls that ended in doubt."},
     {Counter::kRestarts, "chiverail_part_restarts_total", "part",
      "Restarts of a part by the supervisor."},
+    {Counter::kRouteRequests, "chiverail_route_requests_total", "route",
+     "Requests of the gateway by route; those beyond the first 64 routes count as other."},
+    {Counter::kRouteFailures, "chiverail_route_failures_total", "route",
+     "Requests of the gateway that were refused, cut or answered with a status from 500 on."},
+    {Counter::kPlacements, "chiverail_placements_total", "cause",
+     "Upstreams chosen, by what decided the choice."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
@@ -82,6 +88,10 @@
      "1 while an engine reports that it is cold."},
     {Gauge::kIsolated, "chiverail_isolated", "",
      "1 while this instance is cut off and refuses new work."},
+    {Gauge::kWaiting, "chiverail_waiting_requests", "service",
+     "Requests of the gateway that wait for a place."},
+    {Gauge::kConfigAge, "chiverail_config_age_seconds", "",
+     "Time since the configuration in force was known to be the newest."},
 };
 
 constexpr MetricRow<Summary> kSummaries[] = {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -31,6 +31,9 @@
   kCalls,
   kCallsInDoubt,
   kRestarts,
+  kRouteRequests,
+  kRouteFailures,
+  kPlacements,
 };
 
 // Gauges, which hold the last value set.
@@ -49,6 +52,8 @@
   kEngineActive,
   kEngineCold,
   kIsolated,
+  kConfigAge,
+  kWaiting,
 };
 
 // Distributions of times, in seconds.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -85,6 +85,21 @@
   instances_.ForgetSilent(now);
   part_holders_.Expire(now);
   pool_.Expire();
+  for (const auto& [service, places] : places_) {
+    metrics_.Set(Gauge::kWaiting, static_cast<double>(places.queue.size()), service);
+  }
+  if (config_confirmed_at_ != TimePoint{}) {
+    metrics_.Set(Gauge::kConfigAge,
+                 std::chrono::duration<double>(now - config_confirmed_at_).count());
+  }
+}
+
+std::string Relay::RouteLabel(const std::string& route) {
+  if (route_labels_.count(route) == 0 && route_labels_.size() >= kMaxRouteLabels) {
+    return "other";
+  }
+  route_labels_.insert(route);
+  return route;
 }
 
 std::vector<UpstreamLoad> Relay::OwnLoads() const {
--- a/src/relay.h
+++ b/src/relay.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -119,6 +120,9 @@
   PartHolders& part_holders() { return part_holders_; }
   UpstreamPool& pool() { return pool_; }
   SendBudget& BudgetFor(const std::string& service);
+  // The route's name as a label of metrics; "other" beyond the first kMaxRouteLabels routes.
+  std::string RouteLabel(const std::string& route);
+
   DecisionLog& log() { return log_; }
   Metrics& metrics() { return metrics_; }
   std::uint64_t Random() { return random_(); }
@@ -126,6 +130,9 @@
   TimePoint config_confirmed_at() const { return config_confirmed_at_; }
 
  private:
+  // Series of metrics by route; operators have added 120 routes in a day.
+  static constexpr std::size_t kMaxRouteLabels = 64;
+
   // The places at one service's upstreams: who waits for them, and who holds them.
   struct ServicePlaces {
     PlaceQueue queue;
@@ -155,6 +162,7 @@
   boost::asio::steady_timer look_timer_;
   bool look_scheduled_ = false;
   std::uint32_t last_ticket_ = 0;
+  std::set<std::string> route_labels_;
   std::mt19937_64 random_;
 };
 
--- a/src/relay_answer.cc
+++ b/src/relay_answer.cc
@@ -31,6 +31,15 @@
   return known_at == TimePoint{} ? nlohmann::json() : nlohmann::json(Milliseconds(now - known_at));
 }
 
+// The cause of a refusal without its details, which would make a series of metrics each.
+std::string CauseOf(const std::string& fault) {
+  std::string cause = fault.substr(0, fault.find_first_of(":("));
+  if (!cause.empty() && cause.back() == ' ') {
+    cause.pop_back();
+  }
+  return cause;
+}
+
 std::vector<HttpHeader> AnswerFields(const MessageHead& head) {
   const std::string_view connection = head.Field("Connection");
   std::vector<HttpHeader> fields;
@@ -266,6 +275,30 @@
   Finish("caller_left", 0);
 }
 
+Duration RelayCall::Waited(TimePoint now) const {
+  return (sent_at_ == TimePoint{} ? now : sent_at_) - waits_since_;
+}
+
+void RelayCall::Count(std::string_view outcome, int status, TimePoint now) {
+  Metrics& metrics = relay_.metrics();
+  const std::string route = relay_.RouteLabel(route_ == nullptr ? "" : route_->name);
+  metrics.Add(Counter::kRequests, 1, std::string(outcome));
+  metrics.Add(Counter::kRouteRequests, 1, route);
+  if (status >= 500 || outcome == "refused" || outcome == "cut") {
+    metrics.Add(Counter::kRouteFailures, 1, route);
+  }
+  if (outcome == "refused") {
+    metrics.Add(Counter::kRefused, 1, CauseOf(last_fault_));
+  }
+  metrics.Observe(Summary::kRequestSeconds, now - request_.received);
+  if (waits_since_ != TimePoint{}) {
+    metrics.Observe(Summary::kQueueSeconds, Waited(now));
+  }
+  if (first_byte_at_ != TimePoint{}) {
+    metrics.Observe(Summary::kFirstTokenSeconds, first_byte_at_ - request_.received);
+  }
+}
+
 void RelayCall::Finish(std::string_view outcome, int status) {
   phase_ = Phase::kDone;
   LeaveQueue();
@@ -273,31 +306,29 @@
   caller_->OnGone(nullptr);
   const TimePoint now = BootTimeNow();
   const bool failed = outcome != "answered";
-  relay_.metrics().Add(Counter::kRequests, 1, std::string(outcome));
-  relay_.metrics().Observe(Summary::kRequestSeconds, now - request_.received);
-  if (first_byte_at_ != TimePoint{}) {
-    relay_.metrics().Observe(Summary::kFirstTokenSeconds, first_byte_at_ - request_.received);
-  }
-  nlohmann::json line{{"request", id_},
-                      {"outcome", outcome},
-                      {"status", status},
-                      {"route", route_ == nullptr ? "" : route_->name},
-                      {"workspace", workspace_},
-                      {"config", table_ ? table_->version() : 0},
-                      {"config_age_ms", AgeMs(now, relay_.config_confirmed_at())},
-                      {"list_age_ms", AgeMs(now, relay_.upstreams().list_as_of())},
-                      {"class", NameOf(kRequestClassNames, class_)},
-                      {"usable", usable_},
-                      {"upstream", upstream_id_},
-                      {"load", load_at_send_},
-                      {"sends", sends_},
-                      {"runs", runs_},
-                      {"ms", Milliseconds(now - request_.received)}};
+  Count(outcome, status, now);
+  nlohmann::json line{
+      {"request", id_},
+      {"outcome", outcome},
+      {"status", status},
+      {"route", route_ == nullptr ? "" : route_->name},
+      {"workspace", workspace_},
+      {"config", table_ ? table_->version() : 0},
+      {"config_age_ms", AgeMs(now, relay_.config_confirmed_at())},
+      {"list_age_ms", AgeMs(now, relay_.upstreams().list_as_of())},
+      {"class", NameOf(kRequestClassNames, class_)},
+      {"usable", usable_},
+      {"placed_by", upstream_id_.empty() ? "" : NameOf(kPlacementCauseNames, placed_by_)},
+      {"upstream", upstream_id_},
+      {"load", load_at_send_},
+      {"sends", sends_},
+      {"runs", runs_},
+      {"ms", Milliseconds(now - request_.received)}};
   if (!parts_from_.empty()) {
     line["parts_from"] = parts_from_;
   }
   if (waits_since_ != TimePoint{}) {
-    line["waited_ms"] = Milliseconds((sent_at_ == TimePoint{} ? now : sent_at_) - waits_since_);
+    line["waited_ms"] = Milliseconds(Waited(now));
   }
   if (first_byte_at_ != TimePoint{}) {
     line["first_ms"] = Milliseconds(first_byte_at_ - request_.received);
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -147,6 +147,9 @@
     return;
   }
   relay_.Queue(service_name_).OnPlaced();
+  placed_by_ = choice.cause;
+  relay_.metrics().Add(Counter::kPlacements, 1,
+                       std::string(NameOf(kPlacementCauseNames, choice.cause)));
   Send(*choice.upstream, query.holders, now);
 }
 
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -66,6 +66,9 @@
   void AnswerUpstreamFailure(AttemptEnd end);
   void Refuse(int status, std::string_view reason, Duration retry_after);
   void Finish(std::string_view outcome, int status);
+  // Time that it waited for a place, until its send or now.
+  Duration Waited(TimePoint now) const;
+  void Count(std::string_view outcome, int status, TimePoint now);
   void OnCallerGone();
 
   void ArmTimer(TimePoint at);
@@ -101,6 +104,7 @@
   EventSplitter events_;
   bool events_relayed_ = false;
   int load_at_send_ = 0;
+  PlacementCause placed_by_ = PlacementCause::kLoad;
   std::size_t usable_ = 0;  // upstreams among which it was placed last
   std::string last_fault_;
   std::uint32_t ticket_ = 0;  // tells requests with the same id apart in the queue
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -174,6 +174,26 @@
   return best;
 }
 
+// Places a request with shared parts; leaves the choice empty when all engines are over the limits.
+void PlaceByParts(const std::vector<KnownUpstream*>& candidates,
+                  const ChoiceQuery& query,
+                  const ChoiceLimits& limits,
+                  double mean,
+                  TimePoint now,
+                  Choice& choice) {
+  choice.cause = PlacementCause::kHolder;
+  choice.upstream =
+      AmongHolders(candidates, query, limits.load_multiple * mean + limits.load_floor, now);
+  if (choice.upstream != nullptr) {
+    return;
+  }
+  const double new_limit = limits.new_multiple * mean + limits.new_floor;
+  const bool spread = mean >= limits.herd_mean && !query.holders.empty();
+  choice.cause = spread ? PlacementCause::kOverflow : PlacementCause::kAffinity;
+  choice.upstream = spread ? Elsewhere(candidates, query, new_limit, now)
+                           : ByAffinity(candidates, query, new_limit, now);
+}
+
 }  // namespace
 
 std::uint64_t AffinityOf(const std::vector<PromptPart>& parts) {
@@ -221,18 +241,11 @@
     candidates.erase(silent, candidates.end());
   }
   if (query.affinity != 0) {
-    const double mean = total / static_cast<double>(usable.size());
-    const bool spread = mean >= limits.herd_mean;
-    choice.upstream =
-        AmongHolders(candidates, query, limits.load_multiple * mean + limits.load_floor, now);
-    const double new_limit = limits.new_multiple * mean + limits.new_floor;
-    if (choice.upstream == nullptr) {
-      choice.upstream = spread && !query.holders.empty()
-                            ? Elsewhere(candidates, query, new_limit, now)
-                            : ByAffinity(candidates, query, new_limit, now);
-    }
+    PlaceByParts(candidates, query, limits, total / static_cast<double>(usable.size()), now,
+                 choice);
   }
   if (choice.upstream == nullptr) {
+    choice.cause = PlacementCause::kLoad;
     choice.upstream = LessLoadedOfTwo(candidates, query, now);
   }
   choice.outcome = ChoiceOutcome::kChosen;
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -53,8 +53,18 @@
     {ChoiceOutcome::kAllCold, "all_cold"},
 }};
 
+// What decided between the upstreams that could take a request.
+enum class PlacementCause : std::uint8_t { kHolder, kAffinity, kOverflow, kLoad };
+inline constexpr std::array<EnumName<PlacementCause>, 4> kPlacementCauseNames{{
+    {PlacementCause::kHolder, "holder"},      // it has read the shared parts
+    {PlacementCause::kAffinity, "affinity"},  // it ranks first for them
+    {PlacementCause::kOverflow, "overflow"},  // it ranks among the first, as the holders are full
+    {PlacementCause::kLoad, "load"},
+}};
+
 struct Choice {
   ChoiceOutcome outcome = ChoiceOutcome::kNoUpstream;
+  PlacementCause cause = PlacementCause::kLoad;
   KnownUpstream* upstream = nullptr;
   std::size_t usable = 0;  // upstreams that were weighed
 };
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -37,6 +37,7 @@
                   address_,
                   [this, handler = std::move(handler)](const auto& caller, CallerRequest request) {
                     requests_.push_back(request);
+                    callers_.push_back(caller);
                     handler(caller, std::move(request));
                   }) {}
 
@@ -67,6 +68,7 @@
   std::string address_;
   std::vector<CallerRequest> requests_;
   HttpListener listener_;
+  std::vector<std::shared_ptr<CallerConnection>> callers_;  // kept open, so that it looks busy
 };
 
 // A relay with one route of each kind, on loopback.
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -1,5 +1,6 @@
 #include "relay.h"
 
+#include <set>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -21,11 +22,7 @@
   caller->Abort();
 }
 
-void Hang(const Caller& caller, const CallerRequest&) {
-  // The connection stays open, so that the upstream looks busy.
-  static std::vector<Caller> kept;
-  kept.push_back(caller);
-}
+void Hang(const Caller&, const CallerRequest&) {}
 
 }  // namespace
 
@@ -268,6 +265,10 @@
     CHECK(lines[0]["config_age_ms"].get<int>() < 1000);
     CHECK(lines[0]["list_age_ms"].get<int>() < 1000);
     CHECK(lines[0]["workspace"] == "gusseisen");
+    CHECK(lines[0]["placed_by"] == "load");
+    CHECK(fixture.metrics.Value(Counter::kPlacements, "load") == 1);
+    CHECK(fixture.metrics.Value(Counter::kRouteRequests, "/read/") == 1);
+    CHECK(fixture.metrics.Value(Counter::kRouteFailures, "/read/") == 0);
   }
   SECTION("that it was sent again, from where and why") {
     fixture.AddUpstream("up-1", Decline);
@@ -291,6 +292,8 @@
     CHECK(line["status"] == 503);
     CHECK(line["why"] == "all_full (waited_too_long, 0 waiting)");
     CHECK(line["waited_ms"].get<int>() >= 20);
+    CHECK(fixture.metrics.Value(Counter::kRefused, "all_full") == 1);
+    CHECK(fixture.metrics.Value(Counter::kRouteFailures, "/book/") == 1);
     for (const auto& caller : callers) {
       caller->Close();
     }
@@ -306,6 +309,18 @@
   }
 }
 
+// Each addition of routes by operators would otherwise add series for good.
+TEST_CASE("Metrics by route stay bounded") {
+  RelayFixture fixture;
+  std::set<std::string> labels;
+  for (int i = 0; i < 500; ++i) {
+    labels.insert(fixture.relay.RouteLabel("r-" + std::to_string(i)));
+  }
+  CHECK(labels.size() == 65);
+  CHECK(fixture.relay.RouteLabel("r-3") == "r-3");
+  CHECK(fixture.relay.RouteLabel("r-400") == "other");
+}
+
 TEST_CASE("A caller that leaves ends the work for it") {
   RelayFixture fixture;
   fixture.Configure();
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -58,7 +58,9 @@
   SECTION("a part stays where it was read when engines join") {
     ChoiceQuery query = Query(77);
     const KnownUpstream* first = ChooseUpstream(upstreams, query, limits, kStart).upstream;
+    CHECK(ChooseUpstream(upstreams, query, limits, kStart).cause == PlacementCause::kAffinity);
     query.holders = {first->tag};
+    CHECK(ChooseUpstream(upstreams, query, limits, kStart).cause == PlacementCause::kHolder);
     const UpstreamId id = first->entry.id;
     AddEngines(upstreams, 60);
     CHECK(ChooseUpstream(upstreams, query, limits, kStart).upstream->entry.id == id);
