--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,7 +8,7 @@
 - a worker that drains gets nothing new while store, gateway and links are calm;
 - a process ends only when it is told to, in time, and all serve again after the faults.
 
-Usage: soak.py BUILD_DIR SEEDS [--jobs N] [--seconds S], with seeds such as 7, 1-50 or 3,8-10
+Usage: soak.py BUILD_DIR SEEDS [--recorded] [--jobs N] [--seconds S], with seeds such as 7, 1-50 or 3,8-10
 Faults and their times follow from the seed; the interleaving of processes doesn't.
 """
 import argparse
@@ -454,14 +454,21 @@
     return seeds
 
 
+def recorded_seeds():
+    path = os.path.join(os.path.dirname(os.path.abspath(__file__)), "soak_seeds.txt")
+    with open(path, encoding="utf-8") as file:
+        return [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
+
+
 def main():
     parser = argparse.ArgumentParser(description="Randomized soak of chiverail_gateway.")
     parser.add_argument("build")
     parser.add_argument("seeds", help="seeds such as 7, 1-50 or 3,8-10")
+    parser.add_argument("--recorded", action="store_true", help="also play the seeds that ever failed")
     parser.add_argument("--jobs", type=int, default=1, help="seeds that are played at a time")
     parser.add_argument("--seconds", type=float, default=10, help="length of the faults of one seed")
     options = parser.parse_args()
-    seeds = parse_seeds(options.seeds)
+    seeds = parse_seeds(options.seeds) + (recorded_seeds() if options.recorded else [])
     program = os.path.join(options.build, "chiverail_gateway")
     if options.jobs == 1:
         passed = [run_seed(program, seed, options.seconds, os.path.join(options.build, "soak")) for seed in seeds]
