--- a/src/relay.h
+++ b/src/relay.h
@@ -141,7 +141,10 @@
     bool being_served = false;  // ServeWaiting is not entered again by a call that it serves
   };
 
+  // Forgets a request that waits and returns its call; null when the call has ended.
   std::shared_ptr<RelayCall> TakeWaiting(ServicePlaces& places, const SlotKey& key);
+
+  // Looks for places again after a while, as long as requests wait.
   void ScheduleLook();
 
   boost::asio::io_context& io_;
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -68,6 +68,8 @@
   void Finish(std::string_view outcome, int status);
   // Time that it waited for a place, until its send or now.
   Duration Waited(TimePoint now) const;
+
+  // Counts the end of the request in the metrics.
   void Count(std::string_view outcome, int status, TimePoint now);
   void OnCallerGone();
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -275,7 +275,7 @@
     fixture.AddUpstream("up-2", Decline);
     fixture.Ask(RelayFixture::Request("/book/"));
     const auto lines = fixture.Lines("send_again");
-    REQUIRE(lines.size() >= 1);
+    REQUIRE_FALSE(lines.empty());
     CHECK(lines[0]["request"] == "r1");
     CHECK(lines[0]["why"] == "declined: 503");
     CHECK(lines[0]["from"].get<std::string>().substr(0, 3) == "up-");
