Give out the ports of test processes once

A port that had been found free for one gateway was found again for the next one before the first had bound to it; gateways took random ports.

Change: ports are counted up within a process, from a start that follows from its id.

--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -4,9 +4,9 @@
 import base64
 import collections
 import http.client
+import itertools
 import json
 import os
-import random
 import socket
 import subprocess
 import tempfile
@@ -18,21 +18,26 @@
 WAIT_S = 10  # longest time for anything that should happen soon
 
 
+# Ports are given out once in a process and from a part of the range that follows from its id, so that neither
+# processes that haven't bound to theirs yet nor test runs beside this one get the same ones. They lie below the
+# range from which the system takes ports for outgoing connections, as processes bind to them again after a restart.
+FIRST_PORT = 10240
+PORTS_OF_A_RUN = 300
+RUNS = 72
+given_ports = itertools.count(FIRST_PORT + os.getpid() % RUNS * PORTS_OF_A_RUN)
+
+
 def free_ports(count):
-    """Different free ports, all held until the last one is found. They lie below the range from which the system
-    takes ports for outgoing connections, so that a process can bind to them again after a restart."""
-    chance = random.SystemRandom()
-    probes = []
-    while len(probes) < count:
-        probe = socket.socket()
-        try:
-            probe.bind(("127.0.0.1", chance.randrange(10240, 32000)))
-            probes.append(probe)
-        except OSError:
-            probe.close()
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
+    """Different free ports that no earlier call has returned."""
+    ports = []
+    while len(ports) < count:
+        port = next(given_ports)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
