Register actors before they start, and end every table operation

Cause: the supervisor registered an actor after spawning it, and the fleet actor started its first reads by itself. Results reach an actor through the registry, so on a busy machine the results of the first reads were dropped.

Change: - the supervisor sends the first tick, which starts an actor's operations, after the actor is registered - Membership and ConfigFollower give up an operation without a result after the longest time that the platform client takes (TableOperationTimeout) - every call of the platform client ends with a status: a malformed answer threw an exception out of the coroutine, which discarded the result - operation numbers of a run start above its generation, and call numbers outlive the ledger actor, so that the result of an operation of a failed actor is not taken for one of its replacement

--- a/src/config_follower.cc
+++ b/src/config_follower.cc
@@ -7,11 +7,16 @@
 
 namespace chiverail {
 
-ConfigFollower::ConfigFollower(InstanceId self, std::uint64_t seed, TimePoint start)
+ConfigFollower::ConfigFollower(InstanceId self,
+                               std::uint64_t seed,
+                               TimePoint start,
+                               Duration operation_timeout)
     : self_(self),
       start_(start),
       jitter_(seed),
       reachability_(std::move(self), seed + 1),
+      operation_timeout_(operation_timeout),
+      last_op_(seed),
       last_poll_(start - kHeadPollInterval),
       next_poll_(start),
       last_contact_(start),
@@ -19,6 +24,7 @@
 
 FollowerActions ConfigFollower::Tick(TimePoint now) {
   FollowerActions out;
+  EndOverduePolls(now);
   if (now >= next_poll_) {
     Poll(now, out);
   }
@@ -44,6 +50,13 @@
   return std::max(wake, now + milliseconds(1));
 }
 
+// Reads that are never answered would otherwise use up kMaxPollsInFlight.
+void ConfigFollower::EndOverduePolls(TimePoint now) {
+  for (auto poll = polls_.begin(); poll != polls_.end();) {
+    poll = now >= poll->second + operation_timeout_ ? polls_.erase(poll) : std::next(poll);
+  }
+}
+
 void ConfigFollower::Poll(TimePoint now, FollowerActions& out) {
   if (polls_.size() >= kMaxPollsInFlight) {
     return;
--- a/src/config_follower.h
+++ b/src/config_follower.h
@@ -87,8 +87,13 @@
 // timeout and reports an operation without an answer as failed.
 class ConfigFollower {
  public:
-  // `start` is the time at which this instance started.
-  ConfigFollower(InstanceId self, std::uint64_t seed, TimePoint start);
+  // `start` is the time at which this instance started. `seed` distinguishes runs; operation
+  // numbers start above it. A read of the head without an answer after `operation_timeout` counts
+  // as failed.
+  ConfigFollower(InstanceId self,
+                 std::uint64_t seed,
+                 TimePoint start,
+                 Duration operation_timeout = kDefaultTableOperationTimeout);
 
   FollowerActions Tick(TimePoint now);
   TimePoint NextWake(TimePoint now) const;
@@ -120,6 +125,7 @@
   bool AcceptsWork(TimePoint now) const;
 
  private:
+  void EndOverduePolls(TimePoint now);
   void Poll(TimePoint now, FollowerActions& out);
   void StartRoundIfDue(TimePoint now, FollowerActions& out);
   void AcceptHead(const HeadRow& head, FollowerActions& out);
@@ -142,7 +148,8 @@
   TimePoint next_fetch_{};
   std::set<InstanceId> manifest_sources_;  // peers that have head_ in force
 
-  std::uint64_t last_op_ = 0;
+  Duration operation_timeout_;
+  std::uint64_t last_op_;
   std::map<std::uint64_t, TimePoint> polls_;  // start of each read in flight, by operation
   TimePoint last_poll_;
   TimePoint next_poll_{};
--- a/src/fleet_actor.cc
+++ b/src/fleet_actor.cc
@@ -25,6 +25,7 @@
   settings.self = SelfOf(runtime);
   settings.data_centres = {runtime.settings.data_centre};
   settings.seed = runtime.generation;
+  settings.operation_timeout = TableOperationTimeout(runtime.settings);
   return settings;
 }
 
@@ -42,11 +43,13 @@
       runtime_(runtime),
       log_(ComponentLogger("fleet")),
       membership_(MembershipSettingsOf(runtime)),
-      follower_(runtime.settings.instance_id, runtime.generation, clock().now()),
+      follower_(runtime.settings.instance_id,
+                runtime.generation,
+                clock().now(),
+                TableOperationTimeout(runtime.settings)),
       shutdown_(ShutdownSettingsOf(runtime.settings)) {}
 
 caf::behavior FleetActor::make_behavior() {
-  send(this, TickMessage{});
   return {
       [this](const TickMessage&) {
         delayed_send(this, kTickInterval, TickMessage{});
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -22,6 +22,12 @@
   Duration max_pooled_age = milliseconds(30'000);  // pooled connections older than this are closed
 };
 
+// Returns the longest time that HttpClient::Send takes: an attempt on a pooled connection that gets
+// no header, a new connection, and a second attempt whose header and body each take the full time.
+inline Duration LongestExchange(const HttpTimeouts& timeouts) {
+  return timeouts.connect + 3 * timeouts.first_byte;
+}
+
 // Whether an exchange may reuse a pooled connection. Requests that must not be sent twice use a
 // fresh one, because a pooled connection may be dead without either end having closed it.
 enum class ConnectionUse : std::uint8_t { kPooled, kFresh };
--- a/src/ledger_actor.cc
+++ b/src/ledger_actor.cc
@@ -44,7 +44,6 @@
     : caf::event_based_actor(config), runtime_(runtime) {}
 
 caf::behavior LedgerActor::make_behavior() {
-  delayed_send(this, kTickInterval, TickMessage{});
   return {
       [this](const TickMessage&) {
         delayed_send(this, kTickInterval, TickMessage{});
@@ -56,7 +55,7 @@
 }
 
 void LedgerActor::OnCallRequest(CallRequest caller_request) {
-  const CallNumber number = ++last_number_;
+  const CallNumber number = ++runtime_.last_call_number;
   const CallHolder self{runtime_.settings.instance_id, runtime_.generation};
   OpenCall& open = calls_[number];
   open.ledger = std::make_unique<LedgerCall>(self, caller_request.submission);
--- a/src/ledger_actor.h
+++ b/src/ledger_actor.h
@@ -58,7 +58,6 @@
 
   Runtime& runtime_;
   std::map<CallNumber, OpenCall> calls_;
-  CallNumber last_number_ = 0;
 };
 
 }  // namespace chiverail
--- a/src/manifest_fetch.cc
+++ b/src/manifest_fetch.cc
@@ -70,7 +70,7 @@
         index, [&runtime](const std::string& name) { return runtime.objects.Get(name); }));
     runtime.objects.Retain(used);
     return manifest;
-  } catch (const InvalidDocument& error) {
+  } catch (const std::exception& error) {
     ComponentLogger("fleet")->error("Manifest {} is invalid: {}.", hash, error.what());
     return nullptr;
   }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -26,7 +26,9 @@
     : self_(std::move(settings.self)),
       data_centres_(std::move(settings.data_centres)),
       jitter_(settings.seed),
-      lease_(settings.seed + 1) {
+      lease_(settings.seed + 1),
+      operation_timeout_(settings.operation_timeout),
+      last_op_(settings.seed) {
   for (const DataCentreId& data_centre : data_centres_) {
     rows_[data_centre];
     target_epoch_[data_centre] = 1;
@@ -82,6 +84,7 @@
   if (state_ == State::kReleased) {
     return out;
   }
+  EndOverdueOperations(now, out);
   PollEpochs(now, out);
   if (IsMember()) {
     TickMember(now, out);
@@ -91,6 +94,29 @@
   return out;
 }
 
+// Operations of one purpose exclude each other, so one that is never answered would stop polls,
+// renewals and changes for good.
+void Membership::EndOverdueOperations(TimePoint now, MembershipActions& out) {
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [op, operation] : operations_) {
+    if (now >= operation.started + operation_timeout_) {
+      overdue.push_back(op);
+    }
+  }
+  for (const std::uint64_t op : overdue) {
+    const Operation operation = std::move(operations_.at(op));
+    operations_.erase(op);
+    out.push_back(MembershipError{"no result of " +
+                                  std::string(NameOf(kPurposeNames, operation.purpose)) + " for " +
+                                  operation.subject});
+    if (operation.purpose == Purpose::kRenew) {
+      OnRenewWritten(operation, {TableStatus::kUnknown, {}}, now, out);
+    } else if (operation.purpose == Purpose::kChange) {
+      OnChangeWritten(operation, {TableStatus::kUnknown, {}}, now, out);
+    }
+  }
+}
+
 // Reads the small epoch rows, and a whole members row only when its epoch has changed.
 void Membership::PollEpochs(TimePoint now, MembershipActions& out) {
   for (const DataCentreId& data_centre : data_centres_) {
--- a/src/membership.h
+++ b/src/membership.h
@@ -42,7 +42,10 @@
 struct MembershipSettings {
   Member self;  // `generation` must differ from that of any earlier run under the same id
   std::vector<DataCentreId> data_centres;  // all of the fleet, including the own one
+  // Distinguishes runs; operation numbers start above it, so that the result of an operation that
+  // an earlier run started is not taken for one of this run.
   std::uint64_t seed = 0;
+  Duration operation_timeout = kDefaultTableOperationTimeout;
 };
 
 // A members row changed. `steps` holds the row of each epoch since the previous change, oldest
@@ -90,8 +93,9 @@
 // Membership of this instance: its lease, the members rows of all data centres, joining, leaving,
 // and the eviction of ring successors whose leases have lapsed (see kLeaseObserverTimeout).
 //
-// The caller must answer every ReadRow and WriteRows exactly once with its `op`; after its timeout
-// it answers kUnavailable for a read or kUnknown for a write.
+// The caller answers every ReadRow and WriteRows at most once with its `op`. An operation without
+// an answer after the operation timeout counts as failed: kUnavailable for a read, kUnknown for a
+// write. A later answer is ignored.
 class Membership {
  public:
   explicit Membership(MembershipSettings settings);
@@ -147,6 +151,14 @@
  private:
   enum class State : std::uint8_t { kJoining, kMember, kLeaving, kReleased };
   enum class Purpose : std::uint8_t { kMembers, kEpoch, kOwnLease, kWatch, kChange, kRenew };
+  static constexpr std::array<EnumName<Purpose>, 6> kPurposeNames{{
+      {Purpose::kMembers, "the members read"},
+      {Purpose::kEpoch, "the epoch read"},
+      {Purpose::kOwnLease, "the own lease read"},
+      {Purpose::kWatch, "the watched lease read"},
+      {Purpose::kChange, "the members change"},
+      {Purpose::kRenew, "the lease renewal"},
+  }};
 
   // A table operation that has not been answered yet.
   struct Operation {
@@ -170,6 +182,7 @@
   bool InFlight(Purpose purpose, const std::string& subject) const;
   std::uint64_t Start(Purpose purpose, const std::string& subject, TimePoint now);
   void Read(Purpose purpose, const std::string& subject, TimePoint now, MembershipActions& out);
+  void EndOverdueOperations(TimePoint now, MembershipActions& out);
   void ScheduleChangeRetry(TimePoint now);
   void PollEpochs(TimePoint now, MembershipActions& out);
   void TickJoining(TimePoint now, MembershipActions& out);
@@ -226,7 +239,8 @@
   bool release_requested_ = false;
   Revision revision_ = 0;
 
-  std::uint64_t last_op_ = 0;
+  Duration operation_timeout_;
+  std::uint64_t last_op_;
   std::map<std::uint64_t, Operation> operations_;
   std::map<DataCentreId, MembersRow> rows_;
   MembersValue own_value_;
--- a/src/orders_actor.cc
+++ b/src/orders_actor.cc
@@ -69,7 +69,6 @@
 
 caf::behavior OrdersActor::make_behavior() {
   OnView(*runtime_.shared.view());
-  delayed_send(this, kTickInterval, TickMessage{});
   return {
       [this](const TickMessage&) {
         delayed_send(this, kTickInterval, TickMessage{});
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "log.h"
+
 namespace chiverail {
 namespace {
 
@@ -13,7 +15,9 @@
 constexpr int kUnavailable = 503;
 
 // Parses a response body. Returns a discarded value if it is malformed, which callers treat as no
-// answer.
+// answer. Members of the wrong type throw a json::exception when they are read; every public call
+// catches it, because an exception that left the coroutine would be discarded with the result that
+// a state machine waits for.
 json ParseBody(const std::string& body) {
   return json::parse(body, nullptr, false);
 }
@@ -50,6 +54,11 @@
   return list;
 }
 
+// The result that the caller gets holds no reason, so the reason is logged here.
+void LogFailure(const std::string& operation, const std::exception& error) {
+  ComponentLogger("platform")->warn("The {} failed: {}.", operation, error.what());
+}
+
 TableStatus WriteStatus(int http_status) {
   switch (http_status) {
     case kOk:
@@ -92,7 +101,8 @@
     if (response.status == kOk && document.is_object()) {
       return {TableStatus::kOk, RowFromJson(key, document)};
     }
-  } catch (const HttpError&) {
+  } catch (const std::exception& error) {
+    LogFailure("read of row " + key, error);
   }
   return {TableStatus::kUnavailable, {key, 0, ""}};
 }
@@ -111,7 +121,8 @@
       result.rows.push_back(RowFromJson(row.value("key", ""), row));
     }
     result.status = TableStatus::kOk;
-  } catch (const std::exception&) {
+  } catch (const std::exception& error) {
+    LogFailure("scan of prefix " + prefix, error);
     result = {};
   }
   return result;
@@ -128,7 +139,13 @@
       result.versions = VersionsFromJson(transaction, ParseBody(response.body));
     }
   } catch (const HttpError& error) {
+    LogFailure("write", error);
     result.status = error.bytes_written() ? TableStatus::kUnknown : TableStatus::kUnavailable;
+  } catch (const std::exception& error) {
+    // Nothing was sent, or the write took effect and its answer is malformed: then the versions
+    // stay unknown, and the caller reads the rows back.
+    LogFailure("write", error);
+    result.versions.clear();
   }
   return result;
 }
@@ -138,7 +155,8 @@
                                boost::asio::yield_context yield) {
   try {
     return http_.Send(address_, {"PUT", "/objects/" + name, {}, body}, yield).status == kOk;
-  } catch (const HttpError&) {
+  } catch (const std::exception& error) {
+    LogFailure("write of object " + name, error);
     return false;
   }
 }
@@ -150,7 +168,8 @@
     if (response.status == kOk) {
       return std::move(response.body);
     }
-  } catch (const HttpError&) {
+  } catch (const std::exception& error) {
+    LogFailure("read of object " + name, error);
   }
   return std::nullopt;
 }
@@ -163,7 +182,8 @@
       return std::nullopt;
     }
     return ListFromJson(document);
-  } catch (const std::exception&) {
+  } catch (const std::exception& error) {
+    LogFailure("read of the list of instances", error);
     return std::nullopt;
   }
 }
--- a/src/router_actor.cc
+++ b/src/router_actor.cc
@@ -46,7 +46,6 @@
 caf::behavior RouterActor::make_behavior() {
   Handle(admission_.SetGrantsUntil(TimePoint{}, Now()));
   OnView(runtime_.shared.view());
-  delayed_send(this, kTickInterval, TickMessage{});
   return {
       [this](const TickMessage&) {
         delayed_send(this, kTickInterval, TickMessage{});
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -23,8 +23,14 @@
   return timeouts;
 }
 
+constexpr Duration kSchedulingMargin = seconds(1);
+
 }  // namespace
 
+Duration TableOperationTimeout(const Settings& settings) {
+  return LongestExchange(PlatformTimeouts(settings)) + kSchedulingMargin;
+}
+
 Runtime::Runtime(Settings daemon_settings, caf::actor_system& actor_system)
     : settings(std::move(daemon_settings)),
       system(actor_system),
--- a/src/runtime.h
+++ b/src/runtime.h
@@ -63,6 +63,10 @@
   std::array<caf::actor, kComponentNames.size()> actors_;
 };
 
+// Returns the time after which a table operation is given up: the longest that the platform client
+// takes with these settings, and a margin for scheduling.
+Duration TableOperationTimeout(const Settings& settings);
+
 // State shared by all actors and coroutines of one daemon; it outlives them.
 struct Runtime {
   Runtime(Settings daemon_settings, caf::actor_system& actor_system);
@@ -89,6 +93,9 @@
   std::string address;       // "ip:port" for callers
   std::string peer_address;  // "tcp://ip:port" for peers
   std::atomic<int> open_requests{0};
+  // Number of the last call that the ledger took. It outlives the ledger actor, so that the result
+  // of an operation that a failed actor started is not taken for one of a new call.
+  std::atomic<std::uint64_t> last_call_number{0};
 };
 
 }  // namespace chiverail
--- a/src/supervisor.cc
+++ b/src/supervisor.cc
@@ -55,6 +55,12 @@
   monitor(actor);
   running_[actor.address()] = component;
   runtime_.actors.Set(component, actor);
+  // The first tick starts the actor's operations. Their results reach it through the registry and
+  // are dropped while it is not registered: an actor that started by itself could lose the results
+  // of its first reads.
+  if (component != Component::kPeers) {
+    send(actor, TickMessage{});
+  }
 }
 
 // Restarts a failed actor, which rebuilds its state: the fleet actor rejoins under a new
--- a/src/table_types.h
+++ b/src/table_types.h
@@ -36,6 +36,11 @@
   std::vector<std::string> deletes;
 };
 
+// Time after which a state machine gives up waiting for the result of a table operation, unless its
+// settings say otherwise. Longer than the platform client takes for one exchange with its default
+// timeouts (see LongestExchange).
+inline constexpr Duration kDefaultTableOperationTimeout = seconds(10);
+
 // How a table operation ended.
 enum class TableStatus : std::uint8_t {
   kOk,
--- a/tests/config_follower_test.cc
+++ b/tests/config_follower_test.cc
@@ -43,6 +43,16 @@
   const SendProbes start_round = *FindAction<SendProbes>(first);
   const std::uint64_t op = FindAction<ReadRow>(first)->op;
 
+  SECTION("reads of the head that are never answered do not stop the polls") {
+    int reads = 0;
+    const Duration length = 4 * kDefaultTableOperationTimeout;
+    for (Duration after{}; after < length; after += milliseconds(500)) {
+      reads += FindAction<ReadRow>(follower.Tick(kStart + after)) != nullptr ? 1 : 0;
+    }
+    // One more read was started above.
+    CHECK(reads + 1 >= 4 * static_cast<int>(kMaxPollsInFlight));
+  }
+
   SECTION("a restarted instance probes its peers before it applies the first head") {
     CHECK(FindAction<FetchManifest>(follower.OnHead(op, HeadAt(7, "m7"), kStart)) == nullptr);
     TableProbeAnswer newer = Answer("b", start_round);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -15,6 +15,11 @@
 
   void Perform(const MembershipActions& actions, TimePoint now) {
     for (const MembershipAction& action : actions) {
+      if (lost_operations > 0 &&
+          (std::holds_alternative<ReadRow>(action) || std::holds_alternative<WriteRows>(action))) {
+        --lost_operations;
+        continue;
+      }
       evicted += std::holds_alternative<Evicted>(action) ? 1 : 0;
       leaving += std::holds_alternative<MarkedLeaving>(action) ? 1 : 0;
       released += std::holds_alternative<Released>(action) ? 1 : 0;
@@ -35,6 +40,7 @@
 
   FakeTable& table;
   Membership membership;
+  int lost_operations = 0;  // the next ones are neither executed nor answered
   int evicted = 0;
   int leaving = 0;
   int released = 0;
@@ -59,6 +65,32 @@
     CHECK(a.evicted == 0);
   }
 
+  SECTION("operations that are never answered delay joining by the operation timeout only") {
+    a.lost_operations = GENERATE(1, 2, 3, 4);
+    a.Run(start, 2 * kDefaultTableOperationTimeout + seconds(10));
+    CHECK(a.membership.IsMember());
+  }
+
+  SECTION("a renewal that is never answered counts as a write of unknown outcome") {
+    a.Run(start, seconds(4));
+    a.lost_operations = 3;
+    a.Run(start + seconds(4), 2 * kDefaultTableOperationTimeout + seconds(10));
+    CHECK(a.lost_operations == 0);
+    CHECK(a.membership.IsMember());
+    CHECK(a.membership.HoldsLease(start + seconds(4) + 2 * kDefaultTableOperationTimeout +
+                                  seconds(10)));
+    CHECK(a.evicted == 0);
+  }
+
+  SECTION("the result of an operation of an earlier run is not taken for one of this run") {
+    Instance b(table, "b", 2);
+    const MembershipActions earlier = a.membership.Tick(start);
+    const MembershipActions later = b.membership.Tick(start);
+    REQUIRE(std::holds_alternative<ReadRow>(earlier.at(0)));
+    REQUIRE(std::holds_alternative<ReadRow>(later.at(0)));
+    CHECK(std::get<ReadRow>(earlier.at(0)).op != std::get<ReadRow>(later.at(0)).op);
+  }
+
   SECTION("a member that stops is evicted after its lease has lapsed") {
     a.Run(start, seconds(4));
     Instance b(table, "b", 2);
--- a/tests/supervisor_test.cc
+++ b/tests/supervisor_test.cc
@@ -1,4 +1,5 @@
 #include "supervisor.h"
+#include "fleet_actor.h"
 
 #include <caf/actor_system_config.hpp>
 #include <caf/scheduler/test_coordinator.hpp>
@@ -100,6 +101,22 @@
     CHECK(fixture.runtime.generation != generation);
   }
 
+  SECTION("an actor that is not registered yet starts no operation whose result would be lost") {
+    const auto reads = fixture.runtime.metrics.Value(Counter::kTableReads);
+    const auto unregistered = fixture.system.spawn<FleetActor>(std::ref(fixture.runtime));
+    fixture.coordinator.run();
+    CHECK(fixture.runtime.metrics.Value(Counter::kTableReads) == reads);
+    caf::anon_send_exit(unregistered, caf::exit_reason::user_shutdown);
+    fixture.coordinator.run();
+  }
+
+  SECTION("a registered fleet actor reads the table, after a restart too") {
+    const auto first_reads = fixture.runtime.metrics.Value(Counter::kTableReads);
+    CHECK(first_reads > 0);
+    fixture.Fail(Component::kFleet);
+    CHECK(fixture.runtime.metrics.Value(Counter::kTableReads) > first_reads);
+  }
+
   SECTION("actors that keep failing stop the daemon with exit code 1") {
     for (int i = 0; i < 3; ++i) {
       fixture.Fail(Component::kLedger);
