List at most 64 addresses in the directory, in an order for each caller

Cause: the directory listed all instances in the order of their names, and callers read no more than 64 addresses of a response (the platform's protocol).

Change: a response lists at most 64 addresses, those in the caller's data centre first, in an order that differs between callers and is the same for one caller on all instances, since callers close connections to addresses that are missing from a new response. Fleets of up to 64 are listed whole.

Ruled out: a random sample for each response, as callers would reconnect with each one.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -219,6 +219,12 @@
   io_.Reset();
 }
 
+std::string CallerConnection::peer_host() {
+  boost::system::error_code error;
+  const tcp::endpoint endpoint = io_.socket().remote_endpoint(error);
+  return error ? "" : endpoint.address().to_string();
+}
+
 void CallerConnection::CloseIfIdle() {
   if (!busy_ && !parser_) {
     timer_.cancel();
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -71,6 +71,9 @@
   // Calls `callback` once all sent bytes have been written to the socket.
   void OnDrained(std::function<void()> callback) { io_.OnDrained(std::move(callback)); }
 
+  // IP address of the caller; empty if the connection is closed.
+  std::string peer_host();
+
   // Bytes that are not yet written to the socket.
   std::size_t unsent() const { return io_.unsent(); }
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -134,7 +134,11 @@
     caller->Respond(404, {}, {}, {});
     return;
   }
-  const auto addresses = relay_.instances().CallerAddresses(OwnDigest(false), BootTimeNow());
+  const HttpTarget target = ParseTarget(request.head.target);
+  const DirectoryQuery query{caller->peer_host(),
+                             target.Parameter(interface_.directory_data_centre)};
+  const auto addresses =
+      ChooseAddresses(relay_.instances().CallerEntries(OwnDigest(false), BootTimeNow()), query);
   if (addresses.empty()) {
     caller->Respond(503, {}, {}, {});
     return;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -25,6 +25,8 @@
   HeaderNames names;
   std::string ready_path = "/readyz";
   std::string directory_path = "/v1/instances";
+  // Query parameter of the directory with the caller's data centre.
+  std::string directory_data_centre = "data_centre";
   // Encodes the body of a directory response: the addresses and the time in seconds for which the
   // client may cache them.
   std::function<std::string(const std::vector<std::string>& addresses, std::int64_t ttl_s)>
--- a/src/instance_table.cc
+++ b/src/instance_table.cc
@@ -79,15 +79,15 @@
   return live;
 }
 
-std::vector<std::string> InstanceTable::CallerAddresses(const InstanceDigest& self,
-                                                        TimePoint now) const {
-  std::vector<std::string> accepting;
-  std::vector<std::string> not_leaving;
+std::vector<DirectoryEntry> InstanceTable::CallerEntries(const InstanceDigest& self,
+                                                         TimePoint now) const {
+  std::vector<DirectoryEntry> accepting;
+  std::vector<DirectoryEntry> not_leaving;
   const auto add = [&](const InstanceDigest& digest) {
     if (!digest.leaving && !digest.caller_address.empty()) {
-      not_leaving.push_back(digest.caller_address);
+      not_leaving.push_back({digest.instance, digest.caller_address, digest.data_centre});
       if (digest.accepting) {
-        accepting.push_back(digest.caller_address);
+        accepting.push_back(not_leaving.back());
       }
     }
   };
--- a/src/instance_table.h
+++ b/src/instance_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cache_holders.h"
+#include "directory.h"
 #include "types.h"
 
 namespace chiverail {
@@ -70,10 +71,10 @@
   // Returns the other instances from which a digest arrived within kDigestTimeout.
   std::vector<const PeerInstance*> LiveInstances(TimePoint now) const;
 
-  // Returns the addresses for callers: those of instances with a recent digest that accept
-  // requests, or if there are none, of all with a recent digest that are not leaving. `self` is the
-  // digest of this instance.
-  std::vector<std::string> CallerAddresses(const InstanceDigest& self, TimePoint now) const;
+  // Returns the instances that callers may use: those with a recent digest that accept requests, or
+  // if there are none, all with a recent digest that are not leaving. `self` is the digest of this
+  // instance.
+  std::vector<DirectoryEntry> CallerEntries(const InstanceDigest& self, TimePoint now) const;
 
   // Returns the peer address of the mirror reader from which this instance should read the contents
   // of the platform's store, or an empty string if it should read the store itself. A few instances
--- a/tests/instance_table_test.cc
+++ b/tests/instance_table_test.cc
@@ -21,28 +21,38 @@
   return digest;
 }
 
+std::vector<std::string> CallerAddresses(const InstanceTable& table,
+                                         const InstanceDigest& self,
+                                         TimePoint now) {
+  std::vector<std::string> addresses;
+  for (const DirectoryEntry& entry : table.CallerEntries(self, now)) {
+    addresses.push_back(entry.address);
+  }
+  return addresses;
+}
+
 }  // namespace
 
 TEST_CASE("Callers get the addresses of instances that accept requests") {
   InstanceTable table;
   const InstanceDigest self = Digest("self");
   table.OnDigest(Digest("a"), "10.0.0.1:7000", kStart);
-  CHECK(table.CallerAddresses(self, kStart) == std::vector<std::string>{"self:80", "a:80"});
+  CHECK(CallerAddresses(table, self, kStart) == std::vector<std::string>{"self:80", "a:80"});
 
   SECTION("an instance without a recent digest is not listed") {
     const TimePoint later = kStart + InstanceTable::kDigestTimeout;
-    CHECK(table.CallerAddresses(self, later) == std::vector<std::string>{"self:80"});
+    CHECK(CallerAddresses(table, self, later) == std::vector<std::string>{"self:80"});
   }
   SECTION("a leaving instance is no longer listed") {
     InstanceDigest leaving = Digest("a", 2);
     leaving.leaving = true;
     table.OnDigest(leaving, "10.0.0.1:7000", kStart);
-    CHECK(table.CallerAddresses(self, kStart) == std::vector<std::string>{"self:80"});
+    CHECK(CallerAddresses(table, self, kStart) == std::vector<std::string>{"self:80"});
   }
   SECTION("this instance is not listed while it does not accept requests and another does") {
     InstanceDigest not_accepting = self;
     not_accepting.accepting = false;
-    CHECK(table.CallerAddresses(not_accepting, kStart) == std::vector<std::string>{"a:80"});
+    CHECK(CallerAddresses(table, not_accepting, kStart) == std::vector<std::string>{"a:80"});
   }
   SECTION("if none accepts requests, all that are not leaving are listed rather than none") {
     InstanceDigest not_accepting = self;
@@ -50,7 +60,7 @@
     InstanceDigest other = Digest("a", 2);
     other.accepting = false;
     table.OnDigest(other, "10.0.0.1:7000", kStart);
-    CHECK(table.CallerAddresses(not_accepting, kStart).size() == 2);
+    CHECK(CallerAddresses(table, not_accepting, kStart).size() == 2);
   }
 }
 
