Exchange state through hubs and read the store in few places

Cause: every instance sent a digest to every other. At 295 instances one came every 2.45 s, while readers were taken for gone after 2.0 s and instances after 2.5 s.

Change: - instances report to a hub of their data centre and get totals of the fleet in return; hubs forward reports to each other by instance, so none is counted twice; fleets of up to 24 exchange directly (FleetExchange, FleetRoster). Periods and timeouts follow from the fleet's size in one place (TimingFor) - the retry budget is one for the fleet, used by its counts and their age - readers are tried in turn, the store itself last and at a bounded rate of the fleet (SourceChoice); a hub's notices replace polls, heartbeats of upstreams are not mirrored, and a reader that lists anew passes on only the differences - shares of a cold engine's rate are computed when the fleet changes, not by a pass over all instances in each choice - calls to the store, peer bytes, drops and the age of loads are metrics

Tests: a model of the exchange under loss, delay, duplication, pauses, cuts and restarts; it found that non-hubs kept forwarding to each other, that late datagrams of one forward were dropped, and that a new hub's roster did not correct what an instance had judged itself. Fuzzed messages, periods against timeouts from 1 to 1,000 instances, sources of rows, the shared budget. instance_table_test and digest_size_test went with the classes that they tested; fleet_roster_test has their cases and more.

--- a/src/cache_holders.cc
+++ b/src/cache_holders.cc
@@ -21,31 +21,32 @@
 
 void CacheHolders::OnSent(std::uint64_t segment_id_hash, std::uint32_t upstream, TimePoint now) {
   const CachedSegment segment{ShortHash(segment_id_hash), upstream};
-  Record(segment, now);
-  const bool queued = std::any_of(unsent_.begin(), unsent_.end(), [&](const CachedSegment& other) {
-    return other.segment_hash == segment.segment_hash && other.upstream == segment.upstream;
-  });
-  if (!queued && unsent_.size() < kMaxUnsent) {
+  if (Record(segment, now) && unsent_.size() < kMaxUnsent) {
     unsent_.push_back(segment);
   }
 }
 
-void CacheHolders::OnPeerRecord(const CachedSegment& segment, TimePoint now) {
-  Record(segment, now);
+bool CacheHolders::OnPeerRecord(const CachedSegment& segment, TimePoint now) {
+  return Record(segment, now);
 }
 
-void CacheHolders::Record(const CachedSegment& segment, TimePoint now) {
+// Returns whether the record is new or due to be told again.
+bool CacheHolders::Record(const CachedSegment& segment, TimePoint now) {
   auto& holders = holders_of_segment_[segment.segment_hash];
   const auto same = std::find_if(holders.begin(), holders.end(), [&](const Holder& holder) {
     return holder.upstream == segment.upstream;
   });
-  if (same != holders.end()) {
+  const bool known = same != holders.end();
+  const bool worth_telling = !known || same->told_at + kRefreshPeriod <= now;
+  const TimePoint told_at = worth_telling ? now : same->told_at;
+  if (known) {
     holders.erase(same);
   }
-  holders.insert(holders.begin(), {segment.upstream, now});
+  holders.insert(holders.begin(), {segment.upstream, now, told_at});
   if (holders.size() > kMaxHolders) {
     holders.pop_back();
   }
+  return worth_telling;
 }
 
 std::vector<std::uint32_t> CacheHolders::HoldersOf(std::uint64_t segment_id_hash,
--- a/src/cache_holders.h
+++ b/src/cache_holders.h
@@ -23,16 +23,20 @@
   // A segment that has not been used at an engine for this long is assumed to be evicted there.
   static constexpr Duration kRetention = seconds(40);
 
+  // A segment that keeps being used at an engine is told to the others again after this long.
+  static constexpr Duration kRefreshPeriod = seconds(15);
+
   // Records that this instance sent a segment to an engine.
   void OnSent(std::uint64_t segment_id_hash, std::uint32_t upstream, TimePoint now);
 
-  // Records that another instance sent a segment to an engine.
-  void OnPeerRecord(const CachedSegment& segment, TimePoint now);
+  // Records that another instance sent a segment to an engine. Returns whether that is worth
+  // passing on to further instances: not if it was recorded within kRefreshPeriod.
+  bool OnPeerRecord(const CachedSegment& segment, TimePoint now);
 
   // Returns the tags of the engines that have a segment cached, most recently used first.
   std::vector<std::uint32_t> HoldersOf(std::uint64_t segment_id_hash, TimePoint now) const;
 
-  // Returns the records of this instance since the last call, each segment and engine once.
+  // Returns the records of this instance since the last call that others lack.
   std::vector<CachedSegment> TakeUpdates();
 
   // Removes all records of an engine that has restarted or was removed.
@@ -48,10 +52,11 @@
   struct Holder {
     std::uint32_t upstream = 0;
     TimePoint last_used{};
+    TimePoint told_at{};  // when the record was last passed on or received
   };
 
   static std::uint32_t ShortHash(std::uint64_t segment_id_hash);
-  void Record(const CachedSegment& segment, TimePoint now);
+  bool Record(const CachedSegment& segment, TimePoint now);
 
   std::unordered_map<std::uint32_t, std::vector<Holder>> holders_of_segment_;
   std::vector<CachedSegment> unsent_;  // records for the next digest
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -14,13 +14,8 @@
 namespace chiverail {
 namespace {
 
-// Maximum number of digests sent per second. In a large fleet the digest period grows, so that the
-// fleet's digest traffic is linear in the number of instances and not quadratic.
-constexpr double kDigestsPerSecond = 120;
-
-// Every kAddressesInterval-th digest carries the known addresses, through which instances discover
-// each other; so does the first digest after these have changed.
-constexpr std::uint64_t kAddressesInterval = 16;
+// Interval at which expired entries are removed and gauges are updated.
+constexpr Duration kExpiryInterval = milliseconds(250);
 
 // Interval at which a leaving process checks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
@@ -49,6 +44,19 @@
          static_cast<std::uint64_t>(time.tv_nsec) / 1'000'000;
 }
 
+// What an instance with these settings tells the others when it starts.
+InstanceInfo InfoOf(const GatewaySettings& settings) {
+  InstanceInfo info;
+  info.instance = settings.instance_id;
+  info.start_id = UnixMilliseconds();
+  info.peer_address = settings.peer_address;
+  info.caller_address = settings.caller_address;
+  info.data_centre = settings.data_centre;
+  info.capacity = settings.MirrorCapacity();
+  info.store_reachable = true;  // until a read fails
+  return info;
+}
+
 std::string_view PathOf(const CallerRequest& request) {
   const std::string_view target = request.head.target;
   return target.substr(0, target.find('?'));
@@ -65,16 +73,15 @@
       io_(1),
       log_(io_, settings_.instance_id, STDOUT_FILENO, LogLimitsOf(settings_)),
       relay_(io_,
-             settings_.instance_id,
-             settings_.data_centre,
+             InfoOf(settings_),
+             settings_.digest_period,
              interface_.names,
              RelayLimitsOf(settings_),
              log_,
              metrics_),
-      digest_timer_(io_),
+      fleet_timer_(io_),
       leaving_timer_(io_),
-      signals_(io_, SIGTERM, SIGINT, SIGHUP),
-      start_id_(UnixMilliseconds()) {}
+      signals_(io_, SIGTERM, SIGINT, SIGHUP) {}
 
 int Gateway::Run() {
   Listen();
@@ -82,9 +89,9 @@
                                 {"data_centre", settings_.data_centre},
                                 {"seeds", settings_.seeds}});
   for (const std::string& address : settings_.SeedAddresses()) {
-    relay_.instances().AddAddress(address);
+    relay_.fleet().AddSeed(address);
   }
-  SendDigest();
+  TickFleet();
   WaitForSignal();
   io_.run();
   log_.Write(Decision::kStop, {{"exit_code", exit_code_}});
@@ -115,7 +122,7 @@
   }
   peers_ = std::make_unique<PeerDatagrams>(
       io_, settings_.peer_address,
-      [this](const InstanceDigest& digest, const std::string& from) { OnDigest(digest, from); });
+      [this](std::string_view bytes, const std::string& from) { OnDatagram(bytes, from); });
 }
 
 void Gateway::RespondReady(const std::shared_ptr<CallerConnection>& caller,
@@ -137,8 +144,7 @@
   const HttpTarget target = ParseTarget(request.head.target);
   const DirectoryQuery query{caller->peer_host(),
                              target.Parameter(interface_.directory_data_centre)};
-  const auto addresses =
-      ChooseAddresses(relay_.instances().CallerEntries(OwnDigest(false), BootTimeNow()), query);
+  const auto addresses = ChooseAddresses(relay_.fleet().roster().CallerEntries(), query);
   if (addresses.empty()) {
     caller->Respond(503, {}, {}, {});
     return;
@@ -151,72 +157,78 @@
   caller->Respond(200, {}, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.Render());
 }
 
-void Gateway::OnDigest(const InstanceDigest& digest, const std::string& from) {
-  if (digest.instance == settings_.instance_id) {
-    return;
-  }
+void Gateway::OnDatagram(std::string_view bytes, const std::string& from) {
   const TimePoint now = BootTimeNow();
-  const std::size_t known = relay_.instances().addresses().size();
-  if (relay_.instances().OnDigest(digest, from, now)) {
-    for (const CachedSegment& segment : digest.cached_segments) {
-      relay_.cache_holders().OnPeerRecord(segment, now);
-    }
+  metrics_.Add(Counter::kPeerBytesReceived, bytes.size());
+  FleetExchange& fleet = relay_.fleet();
+  const auto decoded = DecodeFleetMessage(bytes, fleet.upstreams());
+  const auto* message = std::get_if<FleetMessage>(&decoded);
+  std::vector<FleetExchange::Outgoing> outgoing;
+  const std::optional<DropReason> dropped = message == nullptr
+                                                ? std::get<DropReason>(decoded)
+                                                : fleet.OnMessage(*message, from, now, outgoing);
+  if (dropped) {
+    metrics_.Add(Counter::kPeerMessagesDropped, 1, std::string(NameOf(kDropReasonNames, *dropped)));
+    return;
   }
-  relay_.UpdatePeerLoads(now);
-  if (relay_.instances().addresses().size() > known && !leaving_) {
-    // A new instance receives the known addresses immediately.
-    ++sequence_;
-    peers_->Send(OwnDigest(true), {from});
+  if (std::holds_alternative<HubSummary>(*message)) {
+    relay_.UpdatePeerLoads(now);
   }
+  SendToPeers(outgoing);
 }
 
-InstanceDigest Gateway::OwnDigest(bool with_addresses) {
-  InstanceDigest digest;
-  digest.instance = settings_.instance_id;
-  digest.start_id = start_id_;
-  digest.sequence = sequence_;
-  digest.caller_address = settings_.caller_address;
-  digest.capacity = settings_.MirrorCapacity();
-  digest.data_centre = settings_.data_centre;
-  digest.accepting = ready_ && relay_.Accepting(BootTimeNow());
-  digest.leaving = leaving_;
-  digest.store_reachable = store_check_ && store_check_();
-  digest.loads = relay_.OwnLoads();
-  if (with_addresses) {
-    const auto& addresses = relay_.instances().addresses();
-    digest.instances.assign(addresses.begin(), addresses.end());
+void Gateway::SendToPeers(const std::vector<FleetExchange::Outgoing>& messages) {
+  const FleetExchange& fleet = relay_.fleet();
+  for (const FleetExchange::Outgoing& outgoing : messages) {
+    const std::string bytes =
+        EncodeFleetMessage(outgoing.message, outgoing.dense ? &fleet.upstreams() : nullptr);
+    metrics_.Add(Counter::kPeerBytesSent, bytes.size());
+    peers_->Send(bytes, outgoing.address);
   }
-  return digest;
 }
 
-void Gateway::SendDigest() {
-  const TimePoint now = BootTimeNow();
-  relay_.Expire(now);
-  const std::size_t known = relay_.instances().addresses().size();
-  const bool with_addresses = sequence_++ % kAddressesInterval == 0 || known != sent_address_count_;
-  sent_address_count_ = known;
-  InstanceDigest digest = OwnDigest(with_addresses);
-  digest.cached_segments = relay_.cache_holders().TakeUpdates();
-  peers_->Send(digest, relay_.instances().addresses());
-  ScheduleDigest();
+InstanceInfo Gateway::OwnInfo() {
+  InstanceInfo info = relay_.fleet().roster().self();
+  info.accepting = ready_ && relay_.Accepting(BootTimeNow());
+  info.leaving = leaving_;
+  info.store_reachable = !store_check_ || store_check_();
+  return info;
 }
 
-Duration Gateway::DigestPeriod() const {
-  const auto& addresses = relay_.instances().addresses();
-  const Duration spread = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(static_cast<double>(addresses.size()) / kDigestsPerSecond));
-  return std::max(settings_.digest_period, spread);
-}
-
-void Gateway::ScheduleDigest() {
-  digest_timer_.expires_after(DigestPeriod());
-  digest_timer_.async_wait([this](const auto& cancelled) {
+void Gateway::TickFleet() {
+  const TimePoint now = BootTimeNow();
+  if (next_expiry_ <= now) {
+    next_expiry_ = now + kExpiryInterval;
+    relay_.Expire(now);
+    LogFleetChanges();
+  }
+  FleetExchange& fleet = relay_.fleet();
+  SendToPeers(fleet.Tick(OwnInfo(), now));
+  if (fleet.IsHub()) {
+    relay_.UpdatePeerLoads(now);
+  }
+  fleet_timer_.expires_after(std::max<Duration>(Duration::zero(), fleet.NextTick() - now));
+  fleet_timer_.async_wait([this](const auto& cancelled) {
     if (!cancelled) {
-      SendDigest();
+      TickFleet();
     }
   });
 }
 
+// One line when this instance becomes a hub or stops being one.
+void Gateway::LogFleetChanges() {
+  const FleetExchange& fleet = relay_.fleet();
+  if (fleet.IsHub() == logged_hub_) {
+    return;
+  }
+  logged_hub_ = fleet.IsHub();
+  log_.Write(Decision::kDependency,
+             {{"dependency", "fleet"},
+              {"outcome", logged_hub_ ? "acts as a hub" : "reports to a hub"},
+              {"instances", fleet.roster().live_count()},
+              {"hubs", fleet.timing().hubs}});
+}
+
 void Gateway::WaitForSignal() {
   signals_.async_wait([this](const boost::system::error_code& error, int signal) {
     if (error) {
@@ -237,7 +249,7 @@
   try {
     const GatewaySettings settings = reload_();
     for (const std::string& address : settings.SeedAddresses()) {
-      relay_.instances().AddAddress(address);
+      relay_.fleet().AddSeed(address);
     }
     relay_.SetLimits(RelayLimitsOf(settings));
     log_.Write(Decision::kReload, {{"outcome", "applied"}});
@@ -255,8 +267,7 @@
   log_.Write(Decision::kStop,
              {{"outcome", "leaving"}, {"open_requests", caller_listener_->busy()}});
   caller_listener_->StartClosing();
-  digest_timer_.cancel();
-  SendDigest();
+  SendToPeers(relay_.fleet().Announce(OwnInfo(), leaving_since_));
   if (on_leaving_) {
     on_leaving_();
   }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -34,7 +34,8 @@
 };
 
 // One process of the router fleet in front of plain HTTP services and engines. Owns the listeners,
-// sends digests to the other instances, runs periodic expiry and performs the graceful shutdown.
+// exchanges state with the other instances, runs periodic expiry and performs the graceful
+// shutdown.
 class Gateway {
  public:
   // `reload` reads the settings again and throws if they are invalid.
@@ -54,12 +55,6 @@
   // Called by the adapter when the configuration and the upstreams have been read.
   void SetReady() { ready_ = true; }
 
-  // Peer address of the mirror reader, the instance from which this one reads the store's rows;
-  // empty if this instance reads the store itself.
-  std::string MirrorReader() {
-    return relay_.instances().MirrorReaderFor(OwnDigest(false), BootTimeNow());
-  }
-
   // Sets the function that returns whether this instance can read the platform's store.
   void SetStoreCheck(std::function<bool()> store_check) { store_check_ = std::move(store_check); }
 
@@ -72,15 +67,15 @@
   void RespondDirectory(const std::shared_ptr<CallerConnection>& caller,
                         const CallerRequest& request);
   void RespondMetrics(const std::shared_ptr<CallerConnection>& caller);
-  void OnDigest(const InstanceDigest& digest, const std::string& from);
-  InstanceDigest OwnDigest(bool with_addresses);
-  void SendDigest();
-  void ScheduleDigest();
+  void OnDatagram(std::string_view bytes, const std::string& from);
+  void SendToPeers(const std::vector<FleetExchange::Outgoing>& messages);
+  InstanceInfo OwnInfo();
+  void TickFleet();
+  void LogFleetChanges();
   void WaitForSignal();
   void StartLeaving();
   void CheckLeaving();
   void Reload();
-  Duration DigestPeriod() const;
 
   GatewaySettings settings_;
   GatewayInterface interface_;
@@ -94,14 +89,13 @@
   std::unique_ptr<HttpListener> directory_listener_;
   std::unique_ptr<HttpListener> metrics_listener_;
   std::unique_ptr<PeerDatagrams> peers_;
-  boost::asio::steady_timer digest_timer_;
+  boost::asio::steady_timer fleet_timer_;
   boost::asio::steady_timer leaving_timer_;
   boost::asio::signal_set signals_;
   std::function<void()> on_leaving_;
   std::function<bool()> store_check_;
-  std::uint64_t start_id_ = 0;
-  std::uint64_t sequence_ = 0;
-  std::size_t sent_address_count_ = 0;  // number of addresses in the last digest that carried them
+  TimePoint next_expiry_{};
+  bool logged_hub_ = false;
   TimePoint leaving_since_{};
   bool ready_ = false;
   bool leaving_ = false;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -61,6 +61,14 @@
      "Gateway requests that were refused, cut or answered with a status of 500 or above."},
     {Counter::kPlacements, "chiverail_placements_total", "cause",
      "Upstream choices, by the deciding rule."},
+    {Counter::kPeerBytesSent, "chiverail_peer_bytes_sent_total", "",
+     "Bytes of datagrams sent to other instances."},
+    {Counter::kPeerBytesReceived, "chiverail_peer_bytes_received_total", "",
+     "Bytes of datagrams received from other instances."},
+    {Counter::kPeerMessagesDropped, "chiverail_peer_messages_dropped_total", "reason",
+     "Datagrams that were dropped."},
+    {Counter::kStoreCalls, "chiverail_store_calls_total", "call",
+     "Calls of the gateway to the platform's store, by kind."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
@@ -104,6 +112,8 @@
      "Time between two pieces of a streamed response."},
     {Summary::kRequestSeconds, "chiverail_request_seconds", "", "Duration of a chat request."},
     {Summary::kCallSeconds, "chiverail_call_seconds", "", "Duration of a non-idempotent call."},
+    {Summary::kFleetStateAgeSeconds, "chiverail_fleet_state_age_seconds", "",
+     "Age of the other instances' loads when an upstream is chosen."},
 };
 
 template <typename Row, typename E>
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -34,6 +34,10 @@
   kRouteRequests,
   kRouteFailures,
   kPlacements,
+  kPeerBytesSent,
+  kPeerBytesReceived,
+  kPeerMessagesDropped,
+  kStoreCalls,
 };
 
 // Gauges; each shows the last value set.
@@ -64,6 +68,7 @@
   kTokenGapSeconds,
   kRequestSeconds,
   kCallSeconds,
+  kFleetStateAgeSeconds,
 };
 
 // Metrics of one process; thread-safe.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -10,9 +10,12 @@
 namespace chiverail {
 namespace {
 
-// Fractions of the fleet-wide limits that the instances use. Instances see changes of the fleet
-// with a delay, so their shares may add up to more than 1 for some seconds.
+// Fraction of the fleet's retry budget that is used: retries that are made at different times may
+// reach the upstreams within the same window.
 constexpr double kBudgetShare = 0.6;
+
+// Fraction of the fleet-wide cold rate that the instances use. Instances see changes of the fleet
+// with a delay, so their shares may add up to more than 1 for some seconds.
 constexpr double kColdShare = 0.75;
 
 // Interval at which the queues are scanned for slots that became free without a response to this
@@ -30,23 +33,40 @@
 }  // namespace
 
 Relay::Relay(boost::asio::io_context& io,
-             InstanceId instance,
-             DataCentreId data_centre,
+             InstanceInfo self,
+             Duration period,
              HeaderNames names,
              RelayLimits limits,
              DecisionLog& log,
              Metrics& metrics)
     : io_(io),
-      instance_(std::move(instance)),
-      data_centre_(std::move(data_centre)),
+      data_centre_(self.data_centre),
       names_(std::move(names)),
       limits_(limits),
       log_(log),
       metrics_(metrics),
+      fleet_(std::move(self), period, FleetHooks()),
       pool_(io),
       queue_scan_timer_(io),
       random_(std::random_device{}()) {}
 
+ExchangeHooks Relay::FleetHooks() {
+  ExchangeHooks hooks;
+  hooks.loads = [this] { return OwnLoads(); };
+  hooks.services = [this] { return OwnUse(); };
+  hooks.take_segments = [this] { return cache_holders_.TakeUpdates(); };
+  hooks.record_segment = [this](const CachedSegment& segment, TimePoint now) {
+    return cache_holders_.OnPeerRecord(segment, now);
+  };
+  hooks.notices = [this] { return table_notices_ ? table_notices_() : std::vector<TableNotice>{}; };
+  hooks.on_notice = [this](const std::string& peer_address, const TableNotice& notice) {
+    if (on_table_notice_) {
+      on_table_notice_(peer_address, notice);
+    }
+  };
+  return hooks;
+}
+
 void Relay::Handle(const std::shared_ptr<CallerConnection>& caller, CallerRequest request) {
   std::make_shared<RelayCall>(*this, caller, std::move(request))->Start();
 }
@@ -75,16 +95,22 @@
 }
 
 void Relay::UpdatePeerLoads(TimePoint now) {
-  const auto loads = instances_.PeerLoads(now);
+  const auto loads = fleet_.OthersLoads(now);
+  std::vector<std::uint32_t> tags;
+  tags.reserve(upstreams_.all().size());
   for (auto& [id, upstream] : upstreams_.all()) {
     const auto found = loads.find(upstream.tag);
     upstream.peer_load = found == loads.end() ? 0 : static_cast<int>(found->second);
+    tags.push_back(upstream.tag);
+  }
+  std::sort(tags.begin(), tags.end());
+  if (tags != fleet_.upstreams()) {
+    fleet_.SetUpstreams(std::move(tags));
   }
 }
 
 void Relay::Expire(TimePoint now) {
   upstreams_.Expire(now);
-  instances_.RemoveSilent(now);
   cache_holders_.Expire(now);
   pool_.Expire();
   for (const auto& [service, service_queue] : service_queues_) {
@@ -114,29 +140,42 @@
   return loads;
 }
 
-double Relay::ColdLimit(const ServiceConfig& service,
-                        const UpstreamId& upstream,
-                        TimePoint now) const {
+std::vector<ServiceUse> Relay::OwnUse() {
+  const TimePoint now = BootTimeNow();
+  std::vector<ServiceUse> uses;
+  for (auto& [service, budget] : budgets_) {
+    uses.push_back({ServiceTag(service), budget.requests(now), budget.retries(now)});
+  }
+  return uses;
+}
+
+// The share of each instance is computed once for each change of the fleet, since it takes a pass
+// over all instances and is needed for every cold upstream in every choice.
+double Relay::ColdLimit(const ServiceConfig& service, const UpstreamState& upstream) {
   if (service.cold_per_second <= 0) {
     return kNoLimit;  // the service accepts full load immediately after a start
   }
-  std::vector<InstanceId> instances{instance_};
-  for (const PeerInstance* peer : instances_.LiveInstances(now)) {
-    instances.push_back(peer->digest.instance);
+  if (cold_version_ != fleet_.roster().version() || live_instances_.empty()) {
+    cold_version_ = fleet_.roster().version();
+    cold_limits_.clear();
+    live_instances_ = fleet_.roster().LiveInstances();
   }
-  const double fleet = service.cold_per_second * limits_.cold_overage + limits_.cold_slack;
-  return ColdLimitPerInstance(fleet * kColdShare, instances, instance_, upstream);
+  const auto [limit, added] = cold_limits_.try_emplace(upstream.tag);
+  if (added) {
+    const double fleet = service.cold_per_second * limits_.cold_overage + limits_.cold_slack;
+    limit->second = ColdLimitPerInstance(fleet * kColdShare, live_instances_,
+                                         fleet_.roster().self().instance, upstream.entry.id);
+  }
+  return limit->second;
 }
 
-ChoiceQuery Relay::QueryFor(const std::string& service,
-                            const ServiceConfig* config,
-                            TimePoint now) {
+ChoiceQuery Relay::QueryFor(const std::string& service, const ServiceConfig* config) {
   ChoiceQuery query;
   query.service = service;
   query.data_centre = data_centre_;
   query.random = Random();
-  query.cold_limit = [this, config, now](const UpstreamState& upstream) {
-    return config == nullptr ? kNoLimit : ColdLimit(*config, upstream.entry.id, now);
+  query.cold_limit = [this, config](const UpstreamState& upstream) {
+    return config == nullptr ? kNoLimit : ColdLimit(*config, upstream);
   };
   return query;
 }
@@ -185,7 +224,7 @@
   }
   const auto table = table_;
   const ServiceConfig* config = table ? table->Service(service) : nullptr;
-  const ChoiceQuery query = QueryFor(service, config, now);
+  const ChoiceQuery query = QueryFor(service, config);
   for (std::size_t remaining = service_queue.queue.size();
        remaining > 0 && !service_queue.queue.empty(); --remaining) {
     if (!HasFreeSlot(upstreams_, query, LimitsFor(config, SlotShares::kFullShare), now)) {
@@ -227,12 +266,34 @@
 }
 
 SlidingWindowRetryBudget& Relay::BudgetFor(const std::string& service) {
-  const double instances =
-      1.0 + static_cast<double>(instances_.LiveInstances(BootTimeNow()).size());
-  const double slack = limits_.retry_slack * kBudgetShare / instances;
-  const auto found = budgets_.try_emplace(service, limits_.retry_ratio * kBudgetShare, slack).first;
-  found->second.SetSlack(slack);
-  return found->second;
+  return budgets_
+      .try_emplace(service, limits_.retry_ratio * kBudgetShare, limits_.retry_slack * kBudgetShare)
+      .first->second;
+}
+
+FleetUse Relay::OthersUse(const std::string& service, TimePoint now) const {
+  const ServiceUse use = fleet_.OthersUse(ServiceTag(service), now);
+  return {fleet_.roster().live_count(), use.requests, use.retries, fleet_.StateAge(now)};
+}
+
+void Relay::SetLimits(const RelayLimits& limits) {
+  limits_ = limits;
+  cold_limits_.clear();
+  for (auto& [service, budget] : budgets_) {
+    budget.SetLimits(limits.retry_ratio * kBudgetShare, limits.retry_slack * kBudgetShare);
+  }
+}
+
+void Relay::CountRequest(const std::string& service, TimePoint now) {
+  BudgetFor(service).OnRequest(now);
+}
+
+bool Relay::MayRetry(const std::string& service, TimePoint now) {
+  return BudgetFor(service).Allows(OthersUse(service, now), now);
+}
+
+bool Relay::TrySpendRetry(const std::string& service, TimePoint now) {
+  return BudgetFor(service).TrySpend(OthersUse(service, now), now);
 }
 
 }  // namespace chiverail
--- a/src/relay.h
+++ b/src/relay.h
@@ -15,8 +15,8 @@
 #include "cache_holders.h"
 #include "caller_connection.h"
 #include "decision_log.h"
+#include "fleet_exchange.h"
 #include "header_names.h"
-#include "instance_table.h"
 #include "metrics.h"
 #include "route_table.h"
 #include "sliding_window_retry_budget.h"
@@ -43,9 +43,11 @@
 // other instances, the queues and the retry budgets. Used only by the io_context's single thread.
 class Relay {
  public:
+  // `self` is what this instance tells the others about itself, `period` the time between two
+  // messages to one of them.
   Relay(boost::asio::io_context& io,
-        InstanceId instance,
-        DataCentreId data_centre,
+        InstanceInfo self,
+        Duration period,
         HeaderNames names,
         RelayLimits limits,
         DecisionLog& log,
@@ -66,22 +68,19 @@
   // True if the relay can serve requests.
   bool Accepting(TimePoint now) const { return table_ != nullptr && HasFreshConfig(now); }
 
-  // Updates the upstreams' loads from the digests of other instances. Called after digests have
-  // been received.
+  // Updates the upstreams' loads by the requests of other instances. Called when their state or the
+  // set of upstreams has changed.
   void UpdatePeerLoads(TimePoint now);
 
   // Puts changed limits in force.
-  void SetLimits(const RelayLimits& limits) { limits_ = limits; }
+  void SetLimits(const RelayLimits& limits);
 
   // Removes expired entries and updates gauges. Called periodically.
   void Expire(TimePoint now);
 
-  // Number of this instance's requests at each upstream.
-  std::vector<UpstreamLoad> OwnLoads() const;
-
   // Fills in the fields of a query that are the same for all requests for a service. `config` may
   // be null.
-  ChoiceQuery QueryFor(const std::string& service, const ServiceConfig* config, TimePoint now);
+  ChoiceQuery QueryFor(const std::string& service, const ServiceConfig* config);
 
   // Queue of requests that wait for a slot at this service's upstreams.
   SlotQueue& Queue(const std::string& service) { return service_queues_[service].queue; }
@@ -107,20 +106,34 @@
   ChoiceLimits LimitsFor(const ServiceConfig* service, double slot_share) const;
 
   // Number of requests per second that this instance may send to a cold upstream.
-  double ColdLimit(const ServiceConfig& service, const UpstreamId& upstream, TimePoint now) const;
+  double ColdLimit(const ServiceConfig& service, const UpstreamState& upstream);
+
+  // Returns whether the retry budget of a service has room for one more retry, and whether it had
+  // and the retry is recorded.
+  bool MayRetry(const std::string& service, TimePoint now);
+  bool TrySpendRetry(const std::string& service, TimePoint now);
+
+  // Records a request of a caller for a service.
+  void CountRequest(const std::string& service, TimePoint now);
+
+  // Sets the function that returns the state of this instance's copies of the platform's tables.
+  void SetTableNotices(std::function<std::vector<TableNotice>()> notices) {
+    table_notices_ = std::move(notices);
+  }
+
+  // Sets the function that is called with the state of another instance's copy of a table.
+  void OnTableNotice(std::function<void(const std::string&, const TableNotice&)> on_notice) {
+    on_table_notice_ = std::move(on_notice);
+  }
 
   boost::asio::io_context& io() { return io_; }
-  const InstanceId& instance() const { return instance_; }
-  const DataCentreId& data_centre() const { return data_centre_; }
   const HeaderNames& names() const { return names_; }
   const RelayLimits& limits() const { return limits_; }
   std::shared_ptr<const RouteTable> table() const { return table_; }
   UpstreamSet& upstreams() { return upstreams_; }
-  InstanceTable& instances() { return instances_; }
-  const InstanceTable& instances() const { return instances_; }
+  FleetExchange& fleet() { return fleet_; }
   CacheHolders& cache_holders() { return cache_holders_; }
   UpstreamPool& pool() { return pool_; }
-  SlidingWindowRetryBudget& BudgetFor(const std::string& service);
   // Metrics label of a route: its name, or "other" beyond the first kMaxRouteLabels routes.
   std::string RouteLabel(const std::string& route);
 
@@ -142,6 +155,12 @@
     bool serving = false;  // prevents recursion of ServeQueue through a call that it serves
   };
 
+  ExchangeHooks FleetHooks();
+  std::vector<UpstreamLoad> OwnLoads() const;
+  std::vector<ServiceUse> OwnUse();
+  SlidingWindowRetryBudget& BudgetFor(const std::string& service);
+  FleetUse OthersUse(const std::string& service, TimePoint now) const;
+
   // Removes the call of a queued request and returns it; null if the call has ended.
   std::shared_ptr<RelayCall> TakeQueued(ServiceQueue& service_queue, const SlotKey& key);
 
@@ -149,7 +168,6 @@
   void ScheduleQueueScan();
 
   boost::asio::io_context& io_;
-  InstanceId instance_;
   DataCentreId data_centre_;
   HeaderNames names_;
   RelayLimits limits_;
@@ -158,8 +176,14 @@
   std::shared_ptr<const RouteTable> table_;
   TimePoint config_confirmed_at_{};
   UpstreamSet upstreams_;
-  InstanceTable instances_;
   CacheHolders cache_holders_;
+  FleetExchange fleet_;
+  std::function<std::vector<TableNotice>()> table_notices_;
+  std::function<void(const std::string&, const TableNotice&)> on_table_notice_;
+  // This instance's share of the cold rate by upstream tag, for the roster at `cold_version_`.
+  std::unordered_map<std::uint32_t, double> cold_limits_;
+  std::vector<InstanceId> live_instances_;
+  std::uint64_t cold_version_ = 0;
   UpstreamPool pool_;
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
   std::map<std::string, ServiceQueue> service_queues_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -59,7 +59,7 @@
   service_ = table_->Service(service_name_);
   class_ = QueueClass(route_->priority - table_->HighestPriority(service_name_),
                       table_->config().low_priority_workspaces.count(workspace_) > 0);
-  relay_.BudgetFor(service_name_).OnRequest(now);
+  relay_.CountRequest(service_name_, now);
   caller_->OnDisconnect([self = shared_from_this()] { self->OnCallerDisconnected(); });
   ArmTimer(deadline_);
   Place();
@@ -135,7 +135,10 @@
     RespondWithFailure(AttemptFailure::kNotConnected);
     return;
   }
-  ChoiceQuery query = relay_.QueryFor(service_name_, service_, now);
+  if (const auto age = relay_.fleet().StateAge(now)) {
+    relay_.metrics().Observe(Summary::kFleetStateAgeSeconds, *age);
+  }
+  ChoiceQuery query = relay_.QueryFor(service_name_, service_);
   query.affinity = affinity_;
   if (affinity_ != 0) {
     query.holders = relay_.cache_holders().HoldersOf(affinity_, now);
@@ -288,8 +291,7 @@
     return;
   }
   if (phase_ != Phase::kPlacing && attempt_deadline_ != TimePoint{} && attempt_deadline_ <= now) {
-    if (MayRetry(AttemptFailure::kTimeout, runs_ + 1, now) &&
-        relay_.BudgetFor(service_name_).Allows(now)) {
+    if (MayRetry(AttemptFailure::kTimeout, runs_ + 1, now) && relay_.MayRetry(service_name_, now)) {
       FailAttempt(AttemptFailure::kTimeout, "no answer within the patience of an attempt");
       return;
     }
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -153,7 +153,7 @@
   const TimePoint now = BootTimeNow();
   const bool retry = phase_ == Phase::kBuffering && status >= 500 && IsRetryable() &&
                      MayRetry(AttemptFailure::kErrorResponse, runs_ + 1, now) &&
-                     relay_.BudgetFor(service_name_).Allows(now);
+                     relay_.MayRetry(service_name_, now);
   if (retry) {
     FailAttempt(AttemptFailure::kErrorResponse, std::to_string(status));
     return;
@@ -209,7 +209,7 @@
     RespondWithFailure(failure);
     return;
   }
-  if (failure != AttemptFailure::kNotConnected && !relay_.BudgetFor(service_name_).TrySpend(now)) {
+  if (failure != AttemptFailure::kNotConnected && !relay_.TrySpendRetry(service_name_, now)) {
     last_error_ += " (retry budget spent)";
     relay_.metrics().Add(Counter::kRetriesRefused);
     RespondWithFailure(failure);
--- a/tests/platform_decoders_test.cc
+++ b/tests/platform_decoders_test.cc
@@ -174,6 +174,35 @@
   SECTION("as a full listing") {
     CHECK(copy.Rows().size() == 2);
   }
+  // Guards against control traffic that grows with heartbeats: each upstream writes its entry every
+  // 1.2 s, and 165 of them kept every poll of a mirror from waiting.
+  SECTION("without rows that were written again with the same meaning") {
+    copy.SetSameMeaning([](const std::string& before, const std::string& after) {
+      return before.substr(0, 1) == after.substr(0, 1);
+    });
+    StoreRow row = Row("c", 20);
+    row.value += " heartbeat";
+    copy.ApplyChanges({row}, 20, kStart + seconds(1));
+    CHECK(copy.ChangesAfter(13)->empty());
+    CHECK(copy.version() == 20);
+    CHECK(copy.changed_version() == 13);
+    row.version = 21;
+    row.value = "other";
+    copy.ApplyChanges({row}, 21, kStart + seconds(1));
+    REQUIRE(copy.ChangesAfter(20)->size() == 1);
+    CHECK(copy.changed_version() == 21);
+  }
+  // Guards against a wave of listings: when the store dropped its history, a reader listed the
+  // table again, and all instances that read from it had to do so too.
+  SECTION("through a new listing of this instance, as the differences to the one before") {
+    copy.Replace({Row("c", 12), Row("d", 15)}, 30, kStart + seconds(2));
+    const auto changes = copy.ChangesAfter(13);
+    REQUIRE(changes);
+    REQUIRE(changes->size() == 2);
+    CHECK(changes->at(0).key == "d");
+    CHECK(changes->at(1).key == "b");
+    CHECK(changes->at(1).deleted);
+  }
   // cdsaa-rail scale-2: a mirror reader whose calls the store refused kept serving old rows, which
   // delayed the instances that read from it.
   SECTION("only while it is fresh") {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -79,7 +79,7 @@
   RelayFixture()
       : log_file_(std::tmpfile()),
         log_(io, "front-1", fileno(log_file_), {}),
-        relay(io, "front-1", "west", Names(), Limits(), log_, metrics),
+        relay(io, Self(), milliseconds(250), Names(), Limits(), log_, metrics),
         front_(io,
                "127.0.0.1:" + std::to_string(kPort),
                [this](const auto& caller, CallerRequest request) {
@@ -206,6 +206,14 @@
   Metrics metrics;
 
  private:
+  static InstanceInfo Self() {
+    InstanceInfo self;
+    self.instance = "front-1";
+    self.peer_address = "127.0.0.1:7000";
+    self.data_centre = "west";
+    return self;
+  }
+
   static Route MakeRoute(const std::string& prefix, WorkKind kind, int attempts) {
     Route route;
     route.name = prefix;
