Bound what servers in trouble can do, and finish requests that have arrived

The daemon's client ends a stream without line ends, and its I/O thread goes on after a handler failed.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -46,6 +46,8 @@
       return "Content Too Large";
     case 431:
       return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
     case 502:
       return "Bad Gateway";
     case 503:
@@ -125,7 +127,20 @@
   keep_alive_ = request.head.keep_alive;
   head_request_ = request.head.method == "HEAD";
   StartTimeout(TimeoutPhase::kNone);
-  listener_.handler_(shared_from_this(), std::move(request));
+  try {
+    listener_.handler_(shared_from_this(), std::move(request));
+  } catch (const std::exception& error) {
+    ComponentLogger("http")->error("A request failed: {}.", error.what());
+    if (!busy_) {
+      return;  // it was answered before
+    }
+    if (response_started_) {
+      Abort();
+    } else {
+      keep_alive_ = false;
+      Respond(500, {}, {}, {});
+    }
+  }
 }
 
 void CallerConnection::RefuseMalformed() {
@@ -225,8 +240,13 @@
   return error ? "" : endpoint.address().to_string();
 }
 
+bool CallerConnection::has_unfinished_request() {
+  return busy_ || parser_ || io_.unsent() > 0 || io_.HasUnread();
+}
+
+// A request whose bytes have arrived is answered, also if none of them was read so far.
 void CallerConnection::CloseIfIdle() {
-  if (!busy_ && !parser_) {
+  if (!has_unfinished_request()) {
     timer_.cancel();
     io_.CloseWhenSent();
   }
@@ -266,7 +286,8 @@
   const TimePoint now = BootTimeNow();
   if (timeout_phase_ != TimeoutPhase::kNone && timeout_at_ <= now) {
     if (timeout_phase_ == TimeoutPhase::kIdle) {
-      io_.CloseWhenSent();
+      // A caller that does not read its response has had the idle time for it.
+      io_.unsent() > 0 ? io_.Reset() : io_.CloseWhenSent();
     } else {
       busy_ = true;
       keep_alive_ = false;
@@ -311,9 +332,7 @@
       });
       return;
     }
-    const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
-    connections_[connection.get()] = connection;
-    connection->Start();
+    AddConnection(std::move(socket));
     if (connections_.size() > 64 && connections_.size() % 32 == 0) {
       for (auto entry = connections_.begin(); entry != connections_.end();) {
         entry = entry->second.expired() ? connections_.erase(entry) : ++entry;
@@ -323,9 +342,31 @@
   });
 }
 
+void HttpListener::AddConnection(tcp::socket socket) {
+  const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+  connections_[connection.get()] = connection;
+  connection->Start();
+}
+
+// Closing the acceptor resets the connections in its queue, with the requests on them.
+void HttpListener::AcceptQueued() {
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      AddConnection(std::move(socket));
+    }
+  }
+}
+
 void HttpListener::Close() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  if (acceptor_.is_open()) {
+    AcceptQueued();
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+  }
   CloseIdle();
 }
 
@@ -337,6 +378,15 @@
   }
 }
 
+std::size_t HttpListener::unfinished() const {
+  std::size_t count = 0;
+  for (const auto& [key, weak] : connections_) {
+    const auto connection = weak.lock();
+    count += connection && connection->has_unfinished_request() ? 1 : 0;
+  }
+  return count;
+}
+
 std::size_t HttpListener::busy() const {
   std::size_t count = 0;
   for (const auto& [key, weak] : connections_) {
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -82,7 +82,10 @@
   // True while a request is being answered.
   bool busy() const { return busy_; }
 
-  // Closes the connection unless a request is being received or answered.
+  // True while a request is received or answered, or bytes of one wait to be read or sent.
+  bool has_unfinished_request();
+
+  // Closes the connection unless it has an unfinished request.
   void CloseIfIdle();
 
  private:
@@ -131,7 +134,8 @@
   // Adds "Connection: close" to every response that starts after the call.
   void StartClosing() { closing_ = true; }
 
-  // Stops accepting connections and closes the idle ones.
+  // Stops accepting connections and closes the idle ones. Connections that callers have opened are
+  // accepted first.
   void Close();
 
   // Closes idle connections. Busy ones close after their response if StartClosing() was called.
@@ -140,6 +144,9 @@
   // Number of connections on which a request is being answered.
   std::size_t busy() const;
 
+  // Number of connections with an unfinished request.
+  std::size_t unfinished() const;
+
   const CallerLimits& limits() const { return limits_; }
   bool closing() const { return closing_; }
   boost::asio::io_context& io() { return io_; }
@@ -147,6 +154,8 @@
  private:
   friend class CallerConnection;
   void Accept();
+  void AcceptQueued();
+  void AddConnection(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -59,7 +59,7 @@
     WaitForSignals();
     std::make_shared<EnginePoller>(runtime_)->Start();
     const auto work = asio::make_work_guard(runtime_.io);
-    runtime_.io.run();
+    RunHandlers();
     ComponentLogger("daemon")->info("Stopped with exit code {}.", exit_code_);
     return exit_code_;
   }
@@ -85,6 +85,18 @@
                                 : settings.peer_advertise_address;
   }
 
+  // An unexpected exception ends the handler that threw it, not the process.
+  void RunHandlers() {
+    for (bool stopped = false; !stopped;) {
+      try {
+        runtime_.io.run();
+        stopped = true;
+      } catch (const std::exception& error) {
+        ComponentLogger("daemon")->error("A handler failed: {}.", error.what());
+      }
+    }
+  }
+
   void StartActors() {
     SupervisorHooks hooks;
     hooks.stop_accepting = [this] {
--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -6,6 +6,8 @@
 #include <xxhash.h>
 #include <nlohmann/json.hpp>
 
+#include "json_fields.h"
+
 namespace chiverail {
 namespace {
 
@@ -28,6 +30,9 @@
 constexpr std::uint32_t kMaxRequests = 1'000'000;
 constexpr Duration kMaxAge = seconds(600);
 
+// Names of instances and data centres are identifiers of the settings.
+constexpr std::size_t kMaxNameBytes = 200;
+
 // Deepest nesting of a valid message. The parser calls itself for each level, so a datagram of
 // nothing but array headers could otherwise exhaust the stack.
 constexpr std::size_t kMaxDepth = 6;
@@ -90,6 +95,12 @@
   return list;
 }
 
+// Names end up in logs and JSON documents.
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
 json Encode(const InstanceInfo& info) {
   const unsigned flags = (info.accepting ? kAcceptingFlag : 0u) |
                          (info.leaving ? kLeavingFlag : 0u) |
@@ -111,8 +122,11 @@
   info.accepting = (flags & kAcceptingFlag) != 0;
   info.leaving = (flags & kLeavingFlag) != 0;
   info.store_reachable = (flags & kStoreReachableFlag) != 0;
-  if (info.instance.empty() || info.peer_address.empty()) {
-    throw MalformedMessage("no instance or address");
+  const bool addresses_valid =
+      IsSocketAddress(info.peer_address) &&
+      (info.caller_address.empty() || IsSocketAddress(info.caller_address));
+  if (!IsName(info.instance) || !IsName(info.data_centre) || !addresses_valid) {
+    throw MalformedMessage("invalid name or address");
   }
   return info;
 }
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -17,6 +17,9 @@
 // Interval at which expired entries are removed and gauges are updated.
 constexpr Duration kExpiryInterval = milliseconds(250);
 
+// Shortest time between two ticks of the exchange with other instances.
+constexpr Duration kMinTick = milliseconds(5);
+
 // Interval at which a leaving process checks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
 
@@ -93,12 +96,30 @@
   }
   TickFleet();
   WaitForSignal();
-  io_.run();
+  RunHandlers();
   log_.Write(Decision::kStop, {{"exit_code", exit_code_}});
   log_.Flush();
   return exit_code_;
 }
 
+// An unexpected exception ends the handler that threw it, not the process: other requests go on.
+void Gateway::RunHandlers() {
+  for (bool stopped = false; !stopped;) {
+    stopped = Guard("handler", [this] { io_.run(); });
+  }
+}
+
+bool Gateway::Guard(const char* part, const std::function<void()>& body) {
+  try {
+    body();
+    return true;
+  } catch (const std::exception& error) {
+    metrics_.Add(Counter::kHandlerErrors, 1, part);
+    log_.Write(Decision::kError, {{"part", part}, {"why", error.what()}});
+    return false;
+  }
+}
+
 void Gateway::Listen() {
   using Caller = std::shared_ptr<CallerConnection>;
   caller_listener_ = std::make_unique<HttpListener>(
@@ -120,9 +141,10 @@
         io_, settings_.metrics_address,
         [this](const Caller& caller, const CallerRequest&) { RespondMetrics(caller); });
   }
-  peers_ = std::make_unique<PeerDatagrams>(
-      io_, settings_.peer_address,
-      [this](std::string_view bytes, const std::string& from) { OnDatagram(bytes, from); });
+  peers_ = std::make_unique<PeerDatagrams>(io_, settings_.peer_address,
+                                           [this](std::string_view bytes, const std::string& from) {
+                                             Guard("datagram", [&] { OnDatagram(bytes, from); });
+                                           });
 }
 
 void Gateway::RespondReady(const std::shared_ptr<CallerConnection>& caller,
@@ -197,17 +219,19 @@
 
 void Gateway::TickFleet() {
   const TimePoint now = BootTimeNow();
-  if (next_expiry_ <= now) {
-    next_expiry_ = now + kExpiryInterval;
-    relay_.Expire(now);
-    LogFleetChanges();
-  }
   FleetExchange& fleet = relay_.fleet();
-  SendToPeers(fleet.Tick(OwnInfo(), now));
-  if (fleet.IsHub()) {
-    relay_.UpdatePeerLoads(now);
-  }
-  fleet_timer_.expires_after(std::max<Duration>(Duration::zero(), fleet.NextTick() - now));
+  Guard("fleet", [&] {
+    if (next_expiry_ <= now) {
+      next_expiry_ = now + kExpiryInterval;
+      relay_.Expire(now);
+      LogFleetChanges();
+    }
+    SendToPeers(fleet.Tick(OwnInfo(), now));
+    if (fleet.IsHub()) {
+      relay_.UpdatePeerLoads(now);
+    }
+  });
+  fleet_timer_.expires_after(std::max<Duration>(kMinTick, fleet.NextTick() - now));
   fleet_timer_.async_wait([this](const auto& cancelled) {
     if (!cancelled) {
       TickFleet();
@@ -279,9 +303,9 @@
   const bool accepting = passed < settings_.drain_accept;
   if (!accepting) {
     caller_listener_->Close();
-    if (caller_listener_->busy() == 0 || passed >= settings_.DrainDeadline()) {
-      log_.Write(Decision::kStop,
-                 {{"outcome", "left"}, {"cut_requests", caller_listener_->busy()}});
+    const std::size_t unfinished = caller_listener_->unfinished();
+    if (unfinished == 0 || passed >= settings_.DrainDeadline()) {
+      log_.Write(Decision::kStop, {{"outcome", "left"}, {"cut_requests", unfinished}});
       io_.stop();
       return;
     }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -71,6 +71,9 @@
   void SendToPeers(const std::vector<FleetExchange::Outgoing>& messages);
   InstanceInfo OwnInfo();
   void TickFleet();
+  void RunHandlers();
+  // Runs a part of the gateway; logs and counts an exception. Returns whether there was none.
+  bool Guard(const char* part, const std::function<void()>& body);
   void LogFleetChanges();
   void WaitForSignal();
   void StartLeaving();
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -19,6 +19,7 @@
 
 constexpr std::size_t kMaxIdlePerAddress = 32;
 constexpr std::size_t kMaxResponseBytes = 64u << 20;
+constexpr std::size_t kMaxLineBytes = 1u << 20;
 constexpr int kUserTimeoutMs = 10'000;  // limit for unacknowledged data (TCP_USER_TIMEOUT)
 
 using WireRequest = http::request<http::string_body>;
@@ -132,6 +133,9 @@
       if (parser_->is_done()) {
         return TakeUnterminatedLine(body);
       }
+      if (body.size() - consumed_ > kMaxLineBytes) {
+        throw HttpError("stream without a line end", true);
+      }
       ReadSome(yield);
     }
   }
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -69,6 +69,8 @@
      "Datagrams that were dropped."},
     {Counter::kStoreCalls, "chiverail_store_calls_total", "call",
      "Calls of the gateway to the platform's store, by kind."},
+    {Counter::kHandlerErrors, "chiverail_handler_errors_total", "part",
+     "Unexpected errors; each ends one request or message."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -38,6 +38,7 @@
   kPeerBytesReceived,
   kPeerMessagesDropped,
   kStoreCalls,
+  kHandlerErrors,
 };
 
 // Gauges; each shows the last value set.
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -130,6 +130,11 @@
     return;
   }
   const TimePoint now = BootTimeNow();
+  if (deadline_ <= now) {
+    // The process was delayed, or the request has waited: its timer is due as well.
+    RespondWithFailure(AttemptFailure::kTimeout);
+    return;
+  }
   if (keyed_ && !relay_.HasFreshConfig(now)) {
     last_error_ = "configuration too old for keys";
     RespondWithFailure(AttemptFailure::kNotConnected);
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -15,6 +15,9 @@
 // one can still be replaced by a retry at another upstream.
 constexpr std::size_t kMaxBufferedResponse = 64 * 1024;
 
+// Limit for one event of a stream. Events of engines have a few hundred bytes.
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
 // Reading from the upstream pauses once more than this many bytes for the caller are unsent.
 constexpr std::size_t kMaxUnsentBytes = 128 * 1024;
 
@@ -111,6 +114,10 @@
 void RelayCall::OnBody(ResponseBody body) {
   if (route_->kind == WorkKind::kStream && phase_ == Phase::kRelaying) {
     const std::string events = events_.Feed(body.bytes);
+    if (events_.partial_event().size() > kMaxEventBytes) {
+      FailAttempt(AttemptFailure::kBroken, "bytes without an event");
+      return;
+    }
     if (!events.empty()) {
       StartRelaying(BodyFraming::kChunked);
       events_relayed_ = true;
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -159,6 +159,11 @@
   }
 }
 
+bool SocketIo::HasUnread() {
+  char byte = 0;
+  return socket_.is_open() && recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void SocketIo::Close() {
   boost::system::error_code ignored;
   unsent_.clear();
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -56,6 +56,9 @@
   // Closes the socket with a reset, so that the peer cannot take what it received for complete.
   void Reset();
 
+  // True if received bytes wait to be read.
+  bool HasUnread();
+
   bool open() const { return socket_.is_open(); }
 
   boost::asio::ip::tcp::socket& socket() { return socket_; }
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -17,6 +17,12 @@
 constexpr std::size_t kMaxResponseHeadBytes = 64 * 1024;
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{1} << 40;
 
+// Limit for received bytes that the parser waits to have more of, such as an endless chunk size.
+constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxResponseHeadBytes;
+
+// Limit for interim responses (1xx) to one request.
+constexpr int kMaxInterimResponses = 16;
+
 // A connection is considered dead if sent bytes stay unacknowledged for this long.
 constexpr Duration kPeerTimeout = milliseconds(2500);
 
@@ -62,6 +68,7 @@
   active_ = true;
   sent_ = false;
   head_emitted_ = false;
+  interim_responses_ = 0;
   reusable_ = false;
   if (io_) {
     SendRequest();
@@ -151,12 +158,20 @@
       Fail("the upstream sent bytes that are no answer");
       return;
     }
+    if (read_buffer_.size() > kMaxUnparsedBytes) {
+      Fail("the upstream sent too much that is no answer");
+      return;
+    }
     if (!parser_->head_complete()) {
       return;
     }
     if (!head_emitted_ && !skipping_response_) {
       const MessageHead& head = parser_->head();
       if (head.status >= 100 && head.status < 200) {
+        if (++interim_responses_ > kMaxInterimResponses) {
+          Fail("the upstream sent too many interim responses");
+          return;
+        }
         parser_.reset();
         continue;
       }
--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -95,6 +95,7 @@
   bool head_request_ = false;
   bool sent_ = false;
   bool head_emitted_ = false;
+  int interim_responses_ = 0;
   bool skipping_response_ = false;  // the current response belongs to another request
   bool reusable_ = false;
   TimePoint idle_since_{};
