--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -140,8 +140,9 @@
     RespondWithFailure(AttemptFailure::kNotConnected);
     return;
   }
-  if (const auto age = relay_.fleet().StateAge(now)) {
-    relay_.metrics().Observe(Summary::kFleetStateAgeSeconds, *age);
+  load_age_ = relay_.fleet().StateAge(now);
+  if (load_age_) {
+    relay_.metrics().Observe(Summary::kFleetStateAgeSeconds, *load_age_);
   }
   ChoiceQuery query = relay_.QueryFor(service_name_, service_);
   query.affinity = affinity_;
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -106,6 +106,7 @@
   EventSplitter events_;
   bool events_relayed_ = false;
   int load_at_send_ = 0;
+  std::optional<Duration> load_age_;  // of the other instances' part of it
   PlacementCause placed_by_ = PlacementCause::kLoad;
   std::size_t usable_ = 0;  // number of candidate upstreams in the last placement
   std::string last_error_;
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -330,6 +330,7 @@
       {"placed_by", upstream_id_.empty() ? "" : NameOf(kPlacementCauseNames, placed_by_)},
       {"upstream", upstream_id_},
       {"load", load_at_send_},
+      {"load_age_ms", load_age_ ? nlohmann::json(Milliseconds(*load_age_)) : nlohmann::json()},
       {"sends", attempts_made_},
       {"runs", runs_},
       {"ms", Milliseconds(now - request_.received)}};
