--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -193,7 +193,10 @@
     metrics_.Add(Counter::kPeerMessagesDropped, 1, std::string(NameOf(kDropReasonNames, *dropped)));
     return;
   }
-  if (std::holds_alternative<HubSummary>(*message)) {
+  // A hub gets many messages; the totals that it computes from them change less often.
+  const bool is_summary = std::holds_alternative<HubSummary>(*message);
+  if (is_summary || (fleet.IsHub() && loads_updated_at_ + ExchangeTiming::kTotalsPeriod <= now)) {
+    loads_updated_at_ = now;
     relay_.UpdatePeerLoads(now);
   }
   SendToPeers(outgoing);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -108,6 +108,7 @@
   std::function<void()> on_roster_change_;
   std::uint64_t roster_version_ = 0;  // at the last call of on_roster_change_
   TimePoint next_expiry_{};
+  TimePoint loads_updated_at_{};
   bool logged_hub_ = false;
   TimePoint leaving_since_{};
   bool ready_ = false;
