Split the exchange by what it sends, receives and sums up

The hub's choice and the ticks stay there; fleet_send, fleet_receive and fleet_totals have the rest, moved unchanged.

--- a/src/fleet_exchange.h
+++ b/src/fleet_exchange.h
@@ -122,6 +122,13 @@
   const ExchangeTiming& timing() const { return timing_; }
 
  private:
+  // A hub that did not answer is passed over for this long.
+  static constexpr Duration kSuspicionTime = seconds(3);
+
+  // Time after the start in which the seeds are asked again, because instances that start together
+  // know few others at first.
+  static constexpr Duration kSeedTime = seconds(5);
+
   // Work of another instance, kept by hubs.
   struct PeerWork {
     InstanceWork work;
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -60,6 +60,9 @@
   bool live = false;
 };
 
+// Entries of a roster in one message at most, so that it fits into a few packets.
+inline constexpr std::size_t kMaxRosterEntries = 64;
+
 // The entries of the sender's roster that changed after version `from`, up to `version`. Versions
 // count within the sender's run.
 struct RosterChanges {
--- /dev/null
+++ b/src/fleet_receive.cc
@@ -0,0 +1,212 @@
+// FleetExchange: the messages that it receives.
+
+#include <algorithm>
+#include <utility>
+
+#include "fleet_exchange.h"
+
+namespace chiverail {
+
+bool FleetExchange::AcceptWork(const InstanceWork& work, TimePoint now, bool reported) {
+  const FleetRoster::Member* member = roster_.FindByKey(work.key);
+  if (member == nullptr || member->info.instance == roster_.self().instance) {
+    return false;
+  }
+  PeerWork& known = work_[work.key];
+  if (work.sequence <= known.work.sequence) {
+    return false;
+  }
+  known.work = work;
+  known.as_of = now - work.age;
+  known.stamp = reported ? ++last_stamp_ : 0;
+  roster_.OnHeard(work.key, known.as_of);
+  return true;
+}
+
+void FleetExchange::RecordSegments(const std::vector<CachedSegment>& segments,
+                                   TimePoint now,
+                                   bool reported) {
+  for (const CachedSegment& segment : segments) {
+    if (!hooks_.record_segment(segment, now)) {
+      continue;
+    }
+    all_segments_.Add(segment);
+    if (reported) {
+      reported_segments_.Add(segment);
+    }
+  }
+}
+
+// Changes are applied without gaps only. If a message is lost, the sender repeats them, since its
+// receiver does not acknowledge them. Liveness is judged by this instance's hub or, if it is one,
+// by itself: from any other source it learns only of instances that it does not know.
+void FleetExchange::ApplyRoster(std::uint32_t source,
+                                const RosterChanges& changes,
+                                bool trusted,
+                                TimePoint now) {
+  std::uint64_t& version = roster_versions_[source];
+  if (changes.from > version) {
+    return;
+  }
+  for (const RosterEntry& entry : changes.entries) {
+    if (trusted || entry.live) {
+      roster_.Apply(entry, now);
+    }
+  }
+  version = std::max(version, changes.version);
+}
+
+// The first messages of a new hub carry its whole roster. Instances that it does not list have
+// ended without this instance hearing of it.
+void FleetExchange::ApplyHubRoster(std::uint32_t hub, const RosterChanges& changes, TimePoint now) {
+  if (AckFor(hub).version == 0 && changes.version > 0) {
+    full_roster_source_ = hub;
+    full_roster_listed_.clear();
+  }
+  ApplyRoster(hub, changes, true, now);
+  if (full_roster_source_ != hub) {
+    return;
+  }
+  for (const RosterEntry& entry : changes.entries) {
+    full_roster_listed_.insert(entry.info.instance);
+  }
+  if (!changes.more) {
+    full_roster_source_ = 0;
+    roster_.RetainLive(full_roster_listed_);
+  }
+}
+
+std::optional<DropReason> FleetExchange::OnMessage(const FleetMessage& message,
+                                                   const std::string& from,
+                                                   TimePoint now,
+                                                   std::vector<Outgoing>& outgoing) {
+  const auto dropped = Dispatch(message, from, now, outgoing);
+  if (!dropped) {
+    heard_at_ = now;
+  }
+  return dropped;
+}
+
+std::optional<DropReason> FleetExchange::Dispatch(const FleetMessage& message,
+                                                  const std::string& from,
+                                                  TimePoint now,
+                                                  std::vector<Outgoing>& outgoing) {
+  if (const auto* report = std::get_if<InstanceReport>(&message)) {
+    return OnReport(*report, from, now, outgoing);
+  }
+  if (const auto* forward = std::get_if<HubForward>(&message)) {
+    return OnForward(*forward, from, now);
+  }
+  return OnSummary(std::get<HubSummary>(message), from, now, outgoing);
+}
+
+std::optional<DropReason> FleetExchange::OnReport(const InstanceReport& report,
+                                                  const std::string& from,
+                                                  TimePoint now,
+                                                  std::vector<Outgoing>& out) {
+  const auto known = reporters_.find(report.info.instance);
+  if (known != reporters_.end() && known->second.key == report.work.key &&
+      report.work.sequence <= known->second.sequence) {
+    return DropReason::kReplayed;
+  }
+  if (!roster_.OnHeard(report.info, now, now)) {
+    return DropReason::kEarlierRun;
+  }
+  AcceptWork(report.work, now, true);
+  RecordSegments(report.segments, now, true);
+  NoteContact(now);
+  const auto [reporter, added] = reporters_.try_emplace(report.info.instance);
+  if (added) {
+    reporter->second.segment_cursor = all_segments_.end;
+    // The other hubs may know it only through the hub that it used before.
+    roster_.MarkChanged(report.info.instance);
+  }
+  reporter->second.reported_at = now;
+  reporter->second.key = report.work.key;
+  reporter->second.sequence = report.work.sequence;
+  ReplyTo(report, from, now, out);
+  return std::nullopt;
+}
+
+std::optional<DropReason> FleetExchange::OnForward(const HubForward& forward,
+                                                   const std::string& from,
+                                                   TimePoint now) {
+  if (!roster_.OnHeard(forward.hub, now, now)) {
+    return DropReason::kEarlierRun;
+  }
+  HubLink& link = hubs_[forward.hub.instance];
+  if (link.start_id != forward.hub.start_id) {
+    link = {};
+    link.start_id = forward.hub.start_id;
+    link.segment_cursor = reported_segments_.end;
+  }
+  if (forward.sequence < link.sequence) {
+    return DropReason::kReplayed;
+  }
+  NoteContact(now);
+  link.sequence = forward.sequence;
+  if (forward.acts_as_hub) {
+    link.heard_at = now;
+  }
+  link.unanswered_since = {};
+  suspected_until_.erase(forward.hub.instance);
+  const FleetRoster::Member* self = roster_.Find(roster_.self().instance);
+  if (forward.ack.source == self->key && forward.ack.version <= roster_.version()) {
+    link.acked = std::max(link.acked, forward.ack.version);
+  }
+  if (is_hub_ || !HasSummary(now)) {
+    ApplyRoster(InstanceKey(forward.hub.instance, forward.hub.start_id), forward.roster, false,
+                now);
+  }
+  for (const InstanceWork& work : forward.work) {
+    AcceptWork(work, now, false);
+  }
+  RecordSegments(forward.segments, now, false);
+  for (const TableNotice& notice : forward.notices) {
+    hooks_.on_notice(from, notice);
+  }
+  return std::nullopt;
+}
+
+std::optional<DropReason> FleetExchange::OnSummary(const HubSummary& summary,
+                                                   const std::string& from,
+                                                   TimePoint now,
+                                                   std::vector<Outgoing>& out) {
+  const auto asked = asked_.find(from);
+  if (asked == asked_.end() || asked->second + timing_.silence < now) {
+    return DropReason::kUnasked;
+  }
+  if (!roster_.OnHeard(summary.hub, now, now)) {
+    return DropReason::kEarlierRun;
+  }
+  const std::uint32_t key = InstanceKey(summary.hub.instance, summary.hub.start_id);
+  std::uint64_t& last = last_summary_[key];
+  if (summary.sequence <= last) {
+    return DropReason::kReplayed;
+  }
+  last = summary.sequence;
+  NoteContact(now);
+  suspected_until_.erase(summary.hub.instance);
+  const bool from_hub = summary.hub.instance == hub_;
+  if (from_hub) {
+    ApplyHubRoster(key, summary.roster, now);
+  } else if (is_hub_ || !HasSummary(now)) {
+    ApplyRoster(key, summary.roster, false, now);
+  }
+  RecordSegments(summary.segments, now, false);
+  for (const TableNotice& notice : summary.notices) {
+    hooks_.on_notice(from, notice);
+  }
+  if (summary.roster.more && (from_hub || is_hub_)) {
+    // The rest of the roster is asked for at once: a new instance knows few others so far.
+    SendReport(from, AckFor(key), now, out);
+  }
+  if (!from_hub) {
+    return std::nullopt;
+  }
+  unanswered_since_ = {};
+  KeepTotals(summary, now);
+  return std::nullopt;
+}
+
+}  // namespace chiverail
