Log the framing and the size of the responses of upstreams

Cause: the log line of a request that ended wrongly does not tell whether its response ended by its length, its last chunk or its connection, how much of it arrived and was passed on, or whether its stream ended inside an event. Change: MessageHead has the framing; the line has framing, received_bytes, relayed_bytes and partial_event_bytes; two counters by framing. Relaying is unchanged. Result: unit test of the log members passes.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -171,7 +171,7 @@
                                      BodyFraming framing,
                                      std::uint64_t length) {
   response_started_ = true;
-  chunked_ = framing == BodyFraming::kChunked;
+  chunked_ = framing != BodyFraming::kLength;
   closing_ = !keep_alive_ || listener_.closing();
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(reason.empty() ? DefaultReason(status) : reason).append("\r\n");
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -28,9 +28,6 @@
   TimePoint received;  // time at which the first byte was read
 };
 
-// Framing of a response body.
-enum class BodyFraming : std::uint8_t { kLength, kChunked };
-
 // Server side of a caller's connection. Reads requests one after the other, passes each to the
 // listener's handler once it is complete, and sends the responses. Detects a disconnect of the
 // caller while a request is read or answered.
@@ -48,7 +45,8 @@
                const std::vector<HttpHeader>& fields,
                std::string_view body);
 
-  // Sends the head of a response whose body is passed to SendBody() in pieces.
+  // Sends the head of a response whose body is passed to SendBody() in pieces. A body whose length
+  // is not known is sent in chunks, so that it looks incomplete if the connection ends early.
   void StartResponse(int status,
                      std::string_view reason,
                      const std::vector<HttpHeader>& fields,
--- a/src/http_message.cc
+++ b/src/http_message.cc
@@ -59,6 +59,14 @@
   void on_finish_impl(Error&) override {}
 };
 
+template <typename Parser>
+BodyFraming FramingOf(const Parser& parser) {
+  if (parser.chunked()) {
+    return BodyFraming::kChunked;
+  }
+  return parser.need_eof() ? BodyFraming::kClose : BodyFraming::kLength;
+}
+
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
     text.remove_prefix(1);
@@ -152,6 +160,7 @@
         }
         if (collector.is_header_done()) {
           collector.head.keep_alive = collector.keep_alive();
+          collector.head.framing = FramingOf(collector);
         }
         return used;
       },
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -1,6 +1,7 @@
 #ifndef CHIVERAIL_HTTP_MESSAGE_H_
 #define CHIVERAIL_HTTP_MESSAGE_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -10,9 +11,22 @@
 #include <vector>
 
 #include "http_types.h"
+#include "types.h"
 
 namespace chiverail {
 
+// How the end of a message's body is marked.
+enum class BodyFraming : std::uint8_t {
+  kLength,   // by its announced length; also used for messages without a body
+  kChunked,  // by the last chunk
+  kClose,    // by the end of the connection
+};
+inline constexpr std::array<EnumName<BodyFraming>, 3> kBodyFramingNames{{
+    {BodyFraming::kLength, "length"},
+    {BodyFraming::kChunked, "chunked"},
+    {BodyFraming::kClose, "close"},
+}};
+
 // Start line and header fields of one HTTP/1.1 message, as received.
 struct MessageHead {
   int status = 0;      // of a response
@@ -21,6 +35,7 @@
   std::string target;  // of a request
   std::vector<HttpHeader> fields;
   bool keep_alive = true;  // the sender keeps the connection open
+  BodyFraming framing = BodyFraming::kLength;
   // Absent for chunked bodies, bodies that end when the connection closes, and messages without a
   // body.
   std::optional<std::uint64_t> body_length;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -71,6 +71,10 @@
      "Calls of the gateway to the platform's store, by kind."},
     {Counter::kHandlerErrors, "chiverail_handler_errors_total", "part",
      "Unexpected errors; each ends one request or message."},
+    {Counter::kUpstreamResponses, "chiverail_upstream_responses_total", "framing",
+     "Responses of upstreams that ended regularly, by how their end was marked."},
+    {Counter::kStreamsEndedInsideEvent, "chiverail_streams_ended_inside_event_total", "framing",
+     "Streams of upstreams that ended regularly, but inside an event."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -39,6 +39,8 @@
   kPeerMessagesDropped,
   kStoreCalls,
   kHandlerErrors,
+  kUpstreamResponses,
+  kStreamsEndedInsideEvent,
 };
 
 // Gauges; each shows the last value set.
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -56,6 +56,7 @@
   void FailAttempt(AttemptFailure failure, const std::string& reason);
   // `runs` includes the attempt that has ended, if it may have run.
   bool MayRetry(AttemptFailure failure, int runs, TimePoint now) const;
+  void RecordResponseEnd();
   void ReleaseUpstream(bool failed);
   bool IsRetryable() const;
 
@@ -105,6 +106,9 @@
   std::string buffer_;
   EventSplitter events_;
   bool events_relayed_ = false;
+  std::uint64_t received_bytes_ = 0;     // body of the last response of an upstream
+  std::uint64_t relayed_bytes_ = 0;      // body sent to the caller, from all attempts
+  std::size_t partial_event_bytes_ = 0;  // of the last response, after its last complete event
   int load_at_send_ = 0;
   std::optional<Duration> load_age_;  // of the other instances' part of it
   PlacementCause placed_by_ = PlacementCause::kLoad;
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -95,6 +95,7 @@
     return;
   }
   head_ = std::move(response.head);
+  received_bytes_ = 0;
   first_byte_at_ = BootTimeNow();
   if (success && route_->kind == WorkKind::kStream) {
     phase_ = Phase::kRelaying;
@@ -112,6 +113,7 @@
 }
 
 void RelayCall::OnBody(ResponseBody body) {
+  received_bytes_ += body.bytes.size();
   if (route_->kind == WorkKind::kStream && phase_ == Phase::kRelaying) {
     const std::string events = events_.Feed(body.bytes);
     if (events_.partial_event().size() > kMaxEventBytes) {
@@ -132,7 +134,7 @@
     buffer_.append(body.bytes);
     if (buffer_.size() > kMaxBufferedResponse) {
       phase_ = Phase::kRelaying;
-      StartRelaying(head_->body_length ? BodyFraming::kLength : BodyFraming::kChunked);
+      StartRelaying(head_->framing);
       RelayBody(std::exchange(buffer_, {}));
     }
     return;
@@ -142,6 +144,7 @@
 
 void RelayCall::RelayBody(std::string_view bytes) {
   caller_->SendBody(bytes);
+  relayed_bytes_ += bytes.size();
   if (caller_->unsent() <= kMaxUnsentBytes || !connection_) {
     return;
   }
@@ -153,7 +156,17 @@
   });
 }
 
+void RelayCall::RecordResponseEnd() {
+  const std::string framing(NameOf(kBodyFramingNames, head_->framing));
+  relay_.metrics().Add(Counter::kUpstreamResponses, 1, framing);
+  partial_event_bytes_ = events_.partial_event().size();
+  if (partial_event_bytes_ > 0) {
+    relay_.metrics().Add(Counter::kStreamsEndedInsideEvent, 1, framing);
+  }
+}
+
 void RelayCall::OnEnd() {
+  RecordResponseEnd();
   const int status = head_->status;
   const auto connection = std::exchange(connection_, nullptr);
   relay_.pool().Return(connection);
@@ -171,7 +184,7 @@
   } else if (phase_ == Phase::kBuffering) {
     caller_->StartResponse(status, head_->reason, ResponseFields(*head_), BodyFraming::kLength,
                            buffer_.size());
-    caller_->SendBody(buffer_);
+    RelayBody(buffer_);
   }
   ReleaseUpstream(status >= 500);
   caller_->EndResponse();
@@ -210,6 +223,7 @@
       relay_.pool().CloseIdle(upstream->entry.address);
     }
   }
+  partial_event_bytes_ = events_.partial_event().size();
   events_.DiscardPartialEvent();
   buffer_.clear();
   if (!MayRetry(failure, runs_, now)) {
@@ -337,6 +351,14 @@
   if (!segment_source_.empty()) {
     line["parts_from"] = segment_source_;
   }
+  if (head_) {
+    line["framing"] = NameOf(kBodyFramingNames, head_->framing);
+    line["received_bytes"] = received_bytes_;
+    line["relayed_bytes"] = relayed_bytes_;
+  }
+  if (partial_event_bytes_ > 0) {
+    line["partial_event_bytes"] = partial_event_bytes_;
+  }
   if (queued_since_ != TimePoint{}) {
     line["waited_ms"] = Milliseconds(QueueTime(now));
   }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -271,6 +271,21 @@
     CHECK(fixture.metrics.Value(Counter::kRouteRequests, "/read/") == 1);
     CHECK(fixture.metrics.Value(Counter::kRouteFailures, "/read/") == 0);
   }
+  SECTION("for a response, with its framing and the bytes received and relayed") {
+    fixture.AddUpstream("up-1", [](const Caller& caller, const CallerRequest& request) {
+      caller->StartResponse(200, {}, FakeUpstream::SealFields(request), BodyFraming::kChunked, 0);
+      caller->SendBody("id: 1\ndata: a\n\n");
+      caller->EndResponse();
+    });
+    fixture.SendAndWait(RelayFixture::Request("/chat/"));
+    const auto lines = fixture.Lines("request");
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["framing"] == "chunked");
+    CHECK(lines[0]["received_bytes"] == 15);
+    CHECK(lines[0]["relayed_bytes"] == 15);
+    CHECK(lines[0].count("partial_event_bytes") == 0);
+    CHECK(fixture.metrics.Value(Counter::kUpstreamResponses, "chunked") == 1);
+  }
   SECTION("for a retry, with its first upstream and reason") {
     fixture.AddUpstream("up-1", Decline);
     fixture.AddUpstream("up-2", Decline);
