Move the server that sends raw bytes to a header of its own

It serves the tests of servers in trouble; the tests of how responses end will use it too. SendAndClose() sends bytes and ends the connection, with a close or a reset.

--- /dev/null
+++ b/tests/raw_fixture.h
@@ -0,0 +1,145 @@
+#ifndef CHIVERAIL_TESTS_RAW_FIXTURE_H_
+#define CHIVERAIL_TESTS_RAW_FIXTURE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include "relay_fixture.h"
+
+namespace chiverail {
+
+// A server that sends what the test tells it to, without regard for HTTP.
+class RawServer {
+ public:
+  // Called with the number of the request on its connection, from 1.
+  using Handler = std::function<void(RawServer& server, int request)>;
+
+  RawServer(boost::asio::io_context& io, int port, Handler handler)
+      : acceptor_(io,
+                  {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)}),
+        socket_(io),
+        handler_(std::move(handler)) {
+    Accept();
+  }
+
+  void Send(std::string bytes) {
+    const auto kept = std::make_shared<std::string>(std::move(bytes));
+    boost::asio::async_write(socket_, boost::asio::buffer(*kept),
+                             [kept](const boost::system::error_code&, std::size_t) {});
+  }
+
+  // Sends the bytes and ends the connection, with a reset if `reset` is true. A reset waits until
+  // the peer has had time to read the bytes, which it would discard otherwise.
+  void SendAndClose(std::string bytes, bool reset = false) {
+    const auto kept = std::make_shared<std::string>(std::move(bytes));
+    const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket_));
+    boost::asio::async_write(
+        *socket, boost::asio::buffer(*kept),
+        [kept, socket, reset](const boost::system::error_code&, std::size_t) {
+          const auto timer = std::make_shared<boost::asio::steady_timer>(socket->get_executor());
+          timer->expires_after(reset ? milliseconds(20) : milliseconds(0));
+          timer->async_wait([socket, timer, reset](const boost::system::error_code&) {
+            if (reset) {
+              socket->set_option(boost::asio::socket_base::linger(true, 0));
+            }
+            socket->close();
+          });
+        });
+  }
+
+  // Sends the bytes again and again until the peer closes.
+  void SendForever(const std::string& bytes) {
+    const auto kept = std::make_shared<std::string>(bytes);
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(*kept),
+        [this, kept](const boost::system::error_code& error, std::size_t count) {
+          sent_ += count;
+          closed_ = static_cast<bool>(error);
+          if (!error) {
+            SendForever(*kept);
+          }
+        });
+  }
+
+  bool closed() const { return closed_; }
+  std::size_t sent() const { return sent_; }
+  int connections() const { return connections_; }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+          if (!error) {
+            ++connections_;
+            requests_ = 0;
+            socket_ = std::move(socket);
+            ReadRequest();
+            Accept();
+          }
+        });
+  }
+
+  void ReadRequest() {
+    boost::asio::async_read_until(
+        socket_, received_, "\r\n\r\n",
+        [this](const boost::system::error_code& error, std::size_t count) {
+          if (error) {
+            return;
+          }
+          received_.consume(count);
+          handler_(*this, ++requests_);
+          ReadRequest();
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::streambuf received_;
+  Handler handler_;
+  int requests_ = 0;
+  int connections_ = 0;
+  std::size_t sent_ = 0;
+  bool closed_ = false;
+};
+
+// A complete response of the upstream to a request.
+inline std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+         "\r\nAnswer-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+inline std::string Get(const std::string& id) {
+  return "GET /read/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id +
+         "\r\nWorkspace-Key: key\r\nRequest-Deadline-Ms: 2000\r\n\r\n";
+}
+
+constexpr int kRawPort = RelayFixture::kPort + 20;
+
+// A relay with one upstream that sends what the handler tells it to.
+struct RawFixture : RelayFixture {
+  explicit RawFixture(RawServer::Handler handler) : server(io, kRawPort, std::move(handler)) {
+    Configure();
+    UpstreamEntry entry;
+    entry.id = "raw-1";
+    entry.service = "engines";
+    entry.address = "127.0.0.1:" + std::to_string(kRawPort);
+    entry.data_centre = "west";
+    entry.slots = 8;
+    relay.upstreams().Apply(entry, BootTimeNow());
+  }
+
+  RawServer server;
+};
+
+}  // namespace chiverail
+
+#endif  // CHIVERAIL_TESTS_RAW_FIXTURE_H_
--- a/tests/relay_faults_test.cc
+++ b/tests/relay_faults_test.cc
@@ -4,123 +4,17 @@
 #include <memory>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include "relay_fixture.h"
+#include "raw_fixture.h"
 #include "store_client.h"
 
 namespace chiverail {
-namespace {
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-// A server that sends what the test tells it to, without regard for HTTP.
-class RawServer {
- public:
-  // Called with the number of the request on its connection, from 1.
-  using Handler = std::function<void(RawServer& server, int request)>;
-
-  RawServer(asio::io_context& io, int port, Handler handler)
-      : acceptor_(io, {asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)}),
-        socket_(io),
-        handler_(std::move(handler)) {
-    Accept();
-  }
-
-  void Send(std::string bytes) {
-    const auto kept = std::make_shared<std::string>(std::move(bytes));
-    asio::async_write(socket_, asio::buffer(*kept),
-                      [kept](const boost::system::error_code&, std::size_t) {});
-  }
-
-  // Sends the bytes again and again until the peer closes.
-  void SendForever(const std::string& bytes) {
-    const auto kept = std::make_shared<std::string>(bytes);
-    asio::async_write(socket_, asio::buffer(*kept),
-                      [this, kept](const boost::system::error_code& error, std::size_t count) {
-                        sent_ += count;
-                        closed_ = static_cast<bool>(error);
-                        if (!error) {
-                          SendForever(*kept);
-                        }
-                      });
-  }
-
-  bool closed() const { return closed_; }
-  std::size_t sent() const { return sent_; }
-  int connections() const { return connections_; }
-
- private:
-  void Accept() {
-    acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
-      if (!error) {
-        ++connections_;
-        requests_ = 0;
-        socket_ = std::move(socket);
-        ReadRequest();
-        Accept();
-      }
-    });
-  }
-
-  void ReadRequest() {
-    asio::async_read_until(socket_, received_, "\r\n\r\n",
-                           [this](const boost::system::error_code& error, std::size_t count) {
-                             if (error) {
-                               return;
-                             }
-                             received_.consume(count);
-                             handler_(*this, ++requests_);
-                             ReadRequest();
-                           });
-  }
-
-  tcp::acceptor acceptor_;
-  tcp::socket socket_;
-  asio::streambuf received_;
-  Handler handler_;
-  int requests_ = 0;
-  int connections_ = 0;
-  std::size_t sent_ = 0;
-  bool closed_ = false;
-};
-
-// A complete response of the upstream to a request.
-std::string Answer(const std::string& id, const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-         "\r\nAnswer-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
-
-std::string Get(const std::string& id) {
-  return "GET /read/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id +
-         "\r\nWorkspace-Key: key\r\nRequest-Deadline-Ms: 2000\r\n\r\n";
-}
-
-constexpr int kRawPort = RelayFixture::kPort + 20;
-
-// A relay with one upstream that sends what the handler tells it to.
-struct RawFixture : RelayFixture {
-  explicit RawFixture(RawServer::Handler handler) : server(io, kRawPort, std::move(handler)) {
-    Configure();
-    UpstreamEntry entry;
-    entry.id = "raw-1";
-    entry.service = "engines";
-    entry.address = "127.0.0.1:" + std::to_string(kRawPort);
-    entry.data_centre = "west";
-    entry.slots = 8;
-    relay.upstreams().Apply(entry, BootTimeNow());
-  }
-
-  RawServer server;
-};
-
-}  // namespace
-
 // Guards against an answer that reaches another caller: an upstream sends a second copy of an
 // answer, late, on a connection that is in use again.
 TEST_CASE("A second copy of an answer never reaches another caller") {
