Take a line cut off with its connection for a broken stream

What callers could see: the daemon took the cut line of an engine's stream for a malformed one and gave the attempt up, instead of resuming the stream at its offset. The end mark kept such a stream from looking complete. Change: it throws, as for a broken connection, if only the end of the connection marks the end of the body and a line is unfinished. Evidence: the new section of "The HTTP client distinguishes a request that was not sent from one that may have run" failed before (no error) and passes. A test for every length of a cut listing of the store passes without a change.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -163,11 +163,15 @@
     }
   }
 
-  // Returns the text after the last newline, such as an error body without a trailing newline.
+  // Returns the text after the last newline, such as an error body without a trailing newline. If
+  // only the end of the connection marks the end of the response, the line may have been cut off.
   std::optional<std::string> TakeUnterminatedLine(const std::string& body) {
     if (consumed_ == body.size()) {
       return std::nullopt;
     }
+    if (parser_->need_eof()) {
+      throw HttpError("stream cut inside a line", true);
+    }
     std::string rest = body.substr(consumed_);
     consumed_ = body.size();
     return rest;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -45,8 +45,9 @@
   int status() const;
 
   // Returns the next line without its newline, or nullopt after the complete body. The last line
-  // may lack a newline. Throws HttpError if the connection breaks or no data arrives within the gap
-  // timeout.
+  // may lack a newline if the body has a length or is chunked. Throws HttpError if the connection
+  // breaks, if only its end marks the end of the body and that is inside a line, or if no data
+  // arrives within the gap timeout.
   std::optional<std::string> ReadLine(boost::asio::yield_context yield);
 
   // Closes the connection; a read in progress fails. May be called from another coroutine on the
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -7,6 +7,7 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "raw_fixture.h"
 
 using namespace chiverail;
 using boost::asio::yield_context;
@@ -116,6 +117,30 @@
     });
   }
 
+  // Guards against a line that was cut off with its connection and is taken for the stream's last.
+  SECTION("a stream without length that is closed inside a line is an error, not an end") {
+    constexpr int kPort = 18'601;
+    boost::asio::io_context io(1);
+    RawServer server(io, kPort, [](RawServer& raw, int) {
+      raw.SendAndClose("HTTP/1.1 200 OK\r\n\r\none\n{\"offset\": 1, \"te");
+    });
+    HttpClient client(io, kShortTimeouts);
+    bool ended = false;
+    boost::asio::spawn(
+        io,
+        [&](yield_context yield) {
+          HttpStream stream =
+              client.Open("127.0.0.1:" + std::to_string(kPort), {"GET", "/", {}, ""}, yield);
+          CHECK(stream.ReadLine(yield) == "one");
+          CHECK(BytesWrittenOnFailure([&] { stream.ReadLine(yield); }) == true);
+          ended = true;
+          io.stop();
+        },
+        boost::asio::detached);
+    io.run_for(std::chrono::seconds(10));
+    CHECK(ended);
+  }
+
   SECTION("a stream that is closed before its end is an error, not an end") {
     const auto cut = [](HttpServerExchange& exchange, yield_context) {
       exchange.StartStream(200);
--- a/tests/platform_decoders_test.cc
+++ b/tests/platform_decoders_test.cc
@@ -154,6 +154,19 @@
   CHECK(DecodeStoreResponse(200, "cut", &malformed).status == StoreStatus::kUnknown);
 }
 
+// Guards against a listing that was cut off with its connection and is taken for a shorter one.
+TEST_CASE("A listing that was cut off is not a shorter listing") {
+  const std::string listing =
+      R"({"rows":[{"key":"a","value":"aGk=","ver":4},{"key":"c","value":"aGk=","ver":6}],"ver":9})";
+  int malformed = 0;
+  for (std::size_t size = 0; size < listing.size(); ++size) {
+    CAPTURE(size);
+    CHECK(DecodeStoreResponse(200, listing.substr(0, size), &malformed).status ==
+          StoreStatus::kUnknown);
+  }
+  CHECK(DecodeStoreResponse(200, listing, &malformed).rows.size() == 2);
+}
+
 TEST_CASE("A copy of a table is mirrored") {
   TableCopy copy;
   CHECK(copy.IsStale(kStart));
