Log the prompt parts that an upstream did not answer before it broke

Cause: no line tells which of the requests that the end of an upstream has cut had begun to be answered, what their prompts share, or whether the upstream has ended at all. Change: after a connection that broke before an answer to a request with a prompt had begun, one new connection per upstream is tried; the line has its result and the parts of those prompts, the last ones left out. Relaying is unchanged.

--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -75,6 +75,8 @@
      "Responses of upstreams that ended regularly, by how their end was marked."},
     {Counter::kStreamsEndedInsideEvent, "chiverail_streams_ended_inside_event_total", "framing",
      "Streams of upstreams that ended regularly, but inside an event."},
+    {Counter::kBrokenUpstreams, "chiverail_broken_upstreams_total", "new_connection",
+     "Upstreams whose connections broke before an answer had begun, by what a new one showed."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -41,6 +41,7 @@
   kHandlerErrors,
   kUpstreamResponses,
   kStreamsEndedInsideEvent,
+  kBrokenUpstreams,
 };
 
 // Gauges; each shows the last value set.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -23,6 +23,9 @@
 // as time passes.
 constexpr Duration kQueueScanInterval = milliseconds(15);
 
+// Prompt segments recorded for one end of an upstream.
+constexpr std::size_t kMaxSegmentsOfEnd = 32;
+
 // Rate that no instance reaches.
 constexpr double kNoLimit = 1e9;
 
@@ -284,6 +287,32 @@
   }
 }
 
+void Relay::CheckEnded(const UpstreamState& upstream, const std::vector<PromptSegment>& segments) {
+  const auto [end, added] = suspected_ends_.try_emplace(upstream.entry.id);
+  std::vector<std::string>& ids = end->second.segments;
+  for (std::size_t i = 0; i + 1 < segments.size() && ids.size() < kMaxSegmentsOfEnd; ++i) {
+    if (std::count(ids.begin(), ids.end(), segments[i].id) == 0) {
+      ids.push_back(segments[i].id);
+    }
+  }
+  if (!added) {
+    return;
+  }
+  end->second.at = BootTimeNow();
+  CheckConnect(io_, upstream.entry.address, UpstreamConnection::kConnectTimeout,
+               [this, id = upstream.entry.id](ConnectResult result) { OnEndChecked(id, result); });
+}
+
+void Relay::OnEndChecked(const UpstreamId& id, ConnectResult result) {
+  const auto end = suspected_ends_.extract(id);
+  const std::string outcome(NameOf(kConnectResultNames, result));
+  metrics_.Add(Counter::kBrokenUpstreams, 1, outcome);
+  log_.Write(Decision::kUpstream, {{"upstream", id},
+                                   {"outcome", "broke"},
+                                   {"new_connection", outcome},
+                                   {"unanswered_parts", end.mapped().segments}});
+}
+
 void Relay::CountRequest(const std::string& service, TimePoint now) {
   BudgetFor(service).OnRequest(now);
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -14,6 +14,7 @@
 
 #include "cache_holders.h"
 #include "caller_connection.h"
+#include "connect_check.h"
 #include "decision_log.h"
 #include "fleet_exchange.h"
 #include "header_names.h"
@@ -113,6 +114,10 @@
   bool MayRetry(const std::string& service, TimePoint now);
   bool TrySpendRetry(const std::string& service, TimePoint now);
 
+  // Checks whether an upstream has ended whose connection broke before it began to answer a request
+  // with these prompt segments. One check is made for all requests that it cuts.
+  void CheckEnded(const UpstreamState& upstream, const std::vector<PromptSegment>& segments);
+
   // Records a request of a caller for a service.
   void CountRequest(const std::string& service, TimePoint now);
 
@@ -155,6 +160,13 @@
     bool serving = false;  // prevents recursion of ServeQueue through a call that it serves
   };
 
+  // Requests cut by what may be the end of an upstream.
+  struct SuspectedEnd {
+    TimePoint at{};
+    std::vector<std::string> segments;  // ids, without the last one of each prompt
+  };
+
+  void OnEndChecked(const UpstreamId& id, ConnectResult result);
   ExchangeHooks FleetHooks();
   std::vector<UpstreamLoad> OwnLoads() const;
   std::vector<ServiceUse> OwnUse();
@@ -185,6 +197,7 @@
   std::vector<InstanceId> live_instances_;
   std::uint64_t cold_version_ = 0;
   UpstreamPool pool_;
+  std::map<UpstreamId, SuspectedEnd> suspected_ends_;  // that are being checked
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
   std::map<std::string, ServiceQueue> service_queues_;
   boost::asio::steady_timer queue_scan_timer_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -53,8 +53,9 @@
     return;
   }
   ReadDeadline();
-  affinity_ = AffinityOf(
-      relay_.names().parse_prompt_segments(request_.head.Field(relay_.names().prompt_parts)));
+  segments_ =
+      relay_.names().parse_prompt_segments(request_.head.Field(relay_.names().prompt_parts));
+  affinity_ = AffinityOf(segments_);
   service_name_ = PickTarget(*route_, relay_.Random()).service;
   service_ = table_->Service(service_name_);
   class_ = QueueClass(route_->priority - table_->HighestPriority(service_name_),
@@ -239,6 +240,7 @@
   connection_ = relay_.pool().Take(upstream.entry.address,
                                    at_most_once ? kMaxIdleAtMostOnce : kMaxIdleIdempotent);
   phase_ = Phase::kAwaitingHead;
+  answer_begun_ = false;
   sent_at_ = now;
   attempt_deadline_ = {};
   if (IsRetryable() && runs_ + 1 < route_->attempts) {
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -52,10 +53,16 @@
   void StartRelaying(BodyFraming framing);
   void RelayBody(std::string_view bytes);
 
+  // Has it checked whether the upstream of an attempt that broke has ended, if the attempt's
+  // request may be the cause: it has a prompt, and its answer had not begun.
+  void CheckEnd(AttemptFailure failure);
+
   // Ends a failed attempt, then either retries the request or responds to the caller.
   void FailAttempt(AttemptFailure failure, const std::string& reason);
   // `runs` includes the attempt that has ended, if it may have run.
   bool MayRetry(AttemptFailure failure, int runs, TimePoint now) const;
+  // Called with the first event of a stream, and with the head of any other successful response.
+  void OnAnswerBegun();
   void RecordResponseEnd();
   // Why a response that ended regularly is not complete; empty if it is.
   std::string_view IncompleteReason() const;
@@ -90,6 +97,7 @@
   bool keyed_ = false;
   RequestClass class_ = RequestClass::kInteractive;  // class in the queue for slots
   std::uint64_t affinity_ = 0;
+  std::vector<PromptSegment> segments_;  // of the prompt, in their order
   // Address of the cache holder from which the upstream fetches prompt segments; may be empty.
   std::string segment_source_;
   TimePoint deadline_{};
@@ -108,6 +116,7 @@
   std::string buffer_;
   EventSplitter events_;
   bool events_relayed_ = false;
+  bool answer_begun_ = false;            // by the upstream of the current attempt
   std::uint64_t received_bytes_ = 0;     // body of the last response of an upstream
   std::uint64_t relayed_bytes_ = 0;      // body sent to the caller, from all attempts
   std::size_t partial_event_bytes_ = 0;  // of the last response, after its last complete event
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -101,9 +101,24 @@
     phase_ = Phase::kRelaying;
     return;
   }
+  if (success) {
+    OnAnswerBegun();
+  }
   phase_ = Phase::kBuffering;
 }
 
+void RelayCall::OnAnswerBegun() {
+  answer_begun_ = true;
+}
+
+void RelayCall::CheckEnd(AttemptFailure failure) {
+  const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
+  if (failure == AttemptFailure::kBroken && !answer_begun_ && segments_.size() > 1 &&
+      upstream != nullptr) {
+    relay_.CheckEnded(*upstream, segments_);
+  }
+}
+
 void RelayCall::StartRelaying(BodyFraming framing) {
   if (caller_->response_started()) {
     return;
@@ -121,6 +136,7 @@
       return;
     }
     if (!events.empty()) {
+      OnAnswerBegun();
       StartRelaying(BodyFraming::kChunked);
       events_relayed_ = true;
       if (attempt_deadline_ != TimePoint{}) {
@@ -227,6 +243,7 @@
   if (connection_) {
     std::exchange(connection_, nullptr)->Close();
   }
+  CheckEnd(failure);
   const bool ran = MayHaveRun(failure);
   may_have_run_ = may_have_run_ || ran;
   runs_ += ran ? 1 : 0;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -1,6 +1,7 @@
 #ifndef CHIVERAIL_TESTS_RELAY_FIXTURE_H_
 #define CHIVERAIL_TESTS_RELAY_FIXTURE_H_
 
+#include <algorithm>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -114,8 +115,19 @@
   static HeaderNames Names() {
     HeaderNames names;
     names.reserved = {"System-Only"};
+    names.parse_prompt_segments = ParseSegments;
     return names;
   }
+  // Segments such as "a,b,c", in their order.
+  static std::vector<PromptSegment> ParseSegments(std::string_view text) {
+    std::vector<PromptSegment> segments;
+    while (!text.empty()) {
+      const std::size_t end = std::min(text.find(','), text.size());
+      segments.push_back({std::string(text.substr(0, end)), 100});
+      text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return segments;
+  }
   static RelayLimits Limits() {
     RelayLimits limits;
     limits.key_age = seconds(5);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -296,6 +296,17 @@
     CHECK(lines[0]["why"] == "declined: 503");
     CHECK(lines[0]["from"].get<std::string>().substr(0, 3) == "up-");
   }
+  SECTION("for an upstream that broke, with what it did not answer and whether it has ended") {
+    fixture.AddUpstream("up-1", Reset);
+    fixture.SendAndWait(RelayFixture::Request("/book/", "Prompt-Parts: a,b,own\r\n"));
+    REQUIRE(fixture.RunUntil([&] { return !fixture.Lines("upstream").empty(); }));
+    const auto line = fixture.Lines("upstream").front();
+    CHECK(line["upstream"] == "up-1");
+    CHECK(line["outcome"] == "broke");
+    CHECK(line["new_connection"] == "accepted");
+    CHECK(line["unanswered_parts"] == nlohmann::json{"a", "b"});
+    CHECK(fixture.metrics.Value(Counter::kBrokenUpstreams, "accepted") == 1);
+  }
   SECTION("for a refusal, with the state of the queue") {
     fixture.AddUpstream("up-1", Hang);
     std::vector<CallerResponse> responses(13);
