Keep prompt parts from upstreams under which upstreams end

Cause: no instance remembered under which requests an upstream had ended, and none told the others. Change: PromptQuarantine, a decision class without I/O. An upstream has ended if a connection broke before an answer had begun and a new one is refused. A segment is held after three ends at different times without any answer, on the evidence of all instances; ends that a held one explains don't count against the segments beside it. Held requests are refused at once with 503 and the time to the next trial; suspects aren't sent again. Messages between instances carry reports, answers that clear, and holds (format 7). Why it works: every request waits for an answer somewhere, and only the deadly segment is never answered anywhere. All unit tests pass.

--- a/src/decision_log.h
+++ b/src/decision_log.h
@@ -24,10 +24,11 @@
   kUpstream,    // an upstream was added, is draining, was removed or is unreachable
   kConfig,      // a configuration took effect
   kDependency,  // the platform or another instance became unreachable or reachable again
+  kQuarantine,  // a prompt segment is held, tried or free again
   kError,       // an unexpected error ended a request or a message
   kOmitted,     // number of lines that were dropped
 };
-inline constexpr std::array<EnumName<Decision>, 10> kDecisionNames{{
+inline constexpr std::array<EnumName<Decision>, 11> kDecisionNames{{
     {Decision::kStart, "start"},
     {Decision::kStop, "stop"},
     {Decision::kReload, "reload"},
@@ -36,6 +37,7 @@
     {Decision::kUpstream, "upstream"},
     {Decision::kConfig, "config"},
     {Decision::kDependency, "dependency"},
+    {Decision::kQuarantine, "quarantine"},
     {Decision::kError, "error"},
     {Decision::kOmitted, "omitted"},
 }};
--- a/src/fleet_exchange.h
+++ b/src/fleet_exchange.h
@@ -56,6 +56,9 @@
   std::function<std::vector<TableNotice>()> notices;
   // Called with the state of another instance's copy of a table.
   std::function<void(const std::string& peer_address, const TableNotice&)> on_notice;
+  // What this instance knows of prompt segments that end upstreams, and what others know.
+  std::function<QuarantineNews(TimePoint)> quarantine;
+  std::function<void(const QuarantineNews&, TimePoint)> on_quarantine;
 };
 
 // Exchange of state between the instances of a fleet. Does no I/O: it returns the messages to send.
--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 // First element of each message; changes with every release that changes the format.
-constexpr int kFormatVersion = 6;
+constexpr int kFormatVersion = 7;
 
 // Second element: the type of the message.
 constexpr int kReportType = 0;
@@ -29,6 +29,7 @@
 // Counts above these are not produced by any instance, so the message is malformed.
 constexpr std::uint32_t kMaxRequests = 1'000'000;
 constexpr Duration kMaxAge = seconds(600);
+constexpr Duration kMaxHoldAge = std::chrono::hours(1);
 
 // Names of instances and data centres are identifiers of the settings.
 constexpr std::size_t kMaxNameBytes = 200;
@@ -63,9 +64,9 @@
   return std::chrono::ceil<milliseconds>(duration).count();
 }
 
-Duration AgeFrom(const json& value) {
+Duration AgeFrom(const json& value, Duration max = kMaxAge) {
   const auto age = milliseconds(value.get<std::int64_t>());
-  if (age < Duration::zero() || age > kMaxAge) {
+  if (age < Duration::zero() || age > max) {
     throw MalformedMessage("age out of range");
   }
   return age;
@@ -249,6 +250,56 @@
   return notices;
 }
 
+json Encode(const QuarantineNews& news) {
+  json crashes = json::array();
+  for (const CrashReport& crash : news.crashes) {
+    crashes.push_back({crash.reporter, crash.sequence, crash.upstream, WholeMilliseconds(crash.age),
+                       crash.segments});
+  }
+  json begun = json::array();
+  for (const SegmentBegun& segment : news.begun) {
+    begun.push_back(segment.segment);
+    begun.push_back(WholeMilliseconds(segment.age));
+  }
+  json holds = json::array();
+  for (const SegmentHold& hold : news.holds) {
+    holds.push_back(hold.segment);
+    holds.push_back(WholeMilliseconds(hold.age));
+    holds.push_back(hold.strikes);
+  }
+  return json::array({std::move(crashes), std::move(begun), std::move(holds)});
+}
+
+CrashReport CrashFrom(const json& list) {
+  CrashReport crash;
+  crash.reporter = TagFrom(list.at(0));
+  crash.sequence = list.at(1).get<std::uint64_t>();
+  crash.upstream = TagFrom(list.at(2));
+  crash.age = AgeFrom(list.at(3));
+  crash.segments = list.at(4).get<std::vector<SegmentHash>>();
+  if (crash.segments.size() > PromptQuarantine::kMaxSegmentsPerReport) {
+    throw MalformedMessage("too many segments");
+  }
+  return crash;
+}
+
+QuarantineNews QuarantineFrom(const json& list) {
+  QuarantineNews news;
+  for (const json& crash : list.at(0)) {
+    news.crashes.push_back(CrashFrom(crash));
+  }
+  const json& begun = Records(list.at(1), 2);
+  for (std::size_t i = 0; i < begun.size(); i += 2) {
+    news.begun.push_back({begun[i].get<SegmentHash>(), AgeFrom(begun[i + 1])});
+  }
+  const json& holds = Records(list.at(2), 3);
+  for (std::size_t i = 0; i < holds.size(); i += 3) {
+    news.holds.push_back(
+        {holds[i].get<SegmentHash>(), AgeFrom(holds[i + 1], kMaxHoldAge), CountFrom(holds[i + 2])});
+  }
+  return news;
+}
+
 // One number for each tag, in the order of the tags. Numbers below 128 take one byte.
 json EncodeDense(const std::vector<UpstreamLoad>& loads, const std::vector<std::uint32_t>& tags) {
   std::vector<std::uint32_t> counts(tags.size(), 0);
@@ -284,7 +335,8 @@
 
   json operator()(const InstanceReport& report) const {
     return json::array({kFormatVersion, kReportType, Encode(report.info), Encode(report.work),
-                        Encode(report.ack), report.upstream_set, Encode(report.segments)});
+                        Encode(report.ack), report.upstream_set, Encode(report.segments),
+                        Encode(report.quarantine)});
   }
   json operator()(const HubForward& forward) const {
     json work = json::array();
@@ -293,7 +345,8 @@
     }
     return json::array({kFormatVersion, kForwardType, Encode(forward.hub), forward.acts_as_hub,
                         forward.sequence, std::move(work), Encode(forward.roster),
-                        Encode(forward.ack), Encode(forward.segments), Encode(forward.notices)});
+                        Encode(forward.ack), Encode(forward.segments), Encode(forward.notices),
+                        Encode(forward.quarantine)});
   }
   json operator()(const HubSummary& summary) const {
     return json::array(
@@ -301,7 +354,7 @@
          WholeMilliseconds(summary.age),
          dense_tags == nullptr ? Encode(summary.loads) : EncodeDense(summary.loads, *dense_tags),
          Encode(summary.services), Encode(summary.roster), Encode(summary.segments),
-         Encode(summary.notices)});
+         Encode(summary.notices), Encode(summary.quarantine)});
   }
 };
 
@@ -312,6 +365,7 @@
   report.ack = AckFrom(message.at(4));
   report.upstream_set = TagFrom(message.at(5));
   report.segments = SegmentsFrom(message.at(6));
+  report.quarantine = QuarantineFrom(message.at(7));
   if (report.work.key != InstanceKey(report.info.instance, report.info.start_id)) {
     throw MalformedMessage("key of another instance");
   }
@@ -330,6 +384,7 @@
   forward.ack = AckFrom(message.at(7));
   forward.segments = SegmentsFrom(message.at(8));
   forward.notices = NoticesFrom(message.at(9));
+  forward.quarantine = QuarantineFrom(message.at(10));
   return forward;
 }
 
@@ -344,6 +399,7 @@
   summary.roster = RosterFrom(message.at(8));
   summary.segments = SegmentsFrom(message.at(9));
   summary.notices = NoticesFrom(message.at(10));
+  summary.quarantine = QuarantineFrom(message.at(11));
   return summary;
 }
 
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cache_holders.h"
+#include "prompt_quarantine.h"
 #include "types.h"
 
 namespace chiverail {
@@ -92,6 +93,7 @@
   RosterAck ack;
   std::uint32_t upstream_set = 0;  // UpstreamSetHash of the upstreams that the sender knows
   std::vector<CachedSegment> segments;
+  QuarantineNews quarantine;
 };
 
 // From a hub to the other hubs: the state of the instances that report to it, and its own.
@@ -105,6 +107,7 @@
   RosterAck ack;
   std::vector<CachedSegment> segments;
   std::vector<TableNotice> notices;
+  QuarantineNews quarantine;
 };
 
 // From a hub to an instance that has reported: the state of the fleet.
@@ -119,6 +122,7 @@
   RosterChanges roster;
   std::vector<CachedSegment> segments;
   std::vector<TableNotice> notices;
+  QuarantineNews quarantine;
 };
 
 using FleetMessage = std::variant<InstanceReport, HubForward, HubSummary>;
--- a/src/fleet_receive.cc
+++ b/src/fleet_receive.cc
@@ -113,6 +113,7 @@
     return DropReason::kEarlierRun;
   }
   AcceptWork(report.work, now, true);
+  hooks_.on_quarantine(report.quarantine, now);
   RecordSegments(report.segments, now, true);
   NoteContact(now);
   const auto [reporter, added] = reporters_.try_emplace(report.info.instance);
@@ -165,6 +166,7 @@
   for (const TableNotice& notice : forward.notices) {
     hooks_.on_notice(from, notice);
   }
+  hooks_.on_quarantine(forward.quarantine, now);
   return std::nullopt;
 }
 
@@ -197,6 +199,7 @@
   for (const TableNotice& notice : summary.notices) {
     hooks_.on_notice(from, notice);
   }
+  hooks_.on_quarantine(summary.quarantine, now);
   if (summary.roster.more && (from_hub || is_hub_)) {
     // The rest of the roster is asked for at once: a new instance knows few others so far.
     SendReport(from, AckFor(key), now, out);
--- a/src/fleet_send.cc
+++ b/src/fleet_send.cc
@@ -52,6 +52,7 @@
   if (own_reports_.size() > kMaxOwnReports) {
     own_reports_.pop_front();
   }
+  report.quarantine = hooks_.quarantine(now);
   report.ack = ack;
   report.upstream_set = upstream_set_;
   asked_[address] = now;
@@ -90,6 +91,7 @@
   first.ack = AckFor(hub.key);
   first.segments = reported_segments_.Take(link.segment_cursor);
   first.notices = hooks_.notices();
+  first.quarantine = hooks_.quarantine(now);
   first.work.push_back(OwnWork());
   std::vector<HubForward> forwards{std::move(first)};
   for (const auto& [key, peer] : work_) {
@@ -229,6 +231,7 @@
   }
   summary.segments = all_segments_.Take(reporters_.at(report.info.instance).segment_cursor);
   summary.notices = hooks_.notices();
+  summary.quarantine = hooks_.quarantine(now);
   out.push_back({address, std::move(summary), report.upstream_set == upstream_set_});
 }
 
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -106,6 +106,8 @@
      "1 while this instance is isolated and refuses new work."},
     {Gauge::kWaitingRequests, "chiverail_waiting_requests", "service",
      "Gateway requests queued for a slot."},
+    {Gauge::kQuarantinedSegments, "chiverail_quarantined_parts", "",
+     "Prompt parts in quarantine, because upstreams ended under them."},
     {Gauge::kConfigAge, "chiverail_config_age_seconds", "",
      "Time since the configuration in force was last confirmed as the newest."},
 };
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -62,6 +62,7 @@
   kIsolated,
   kConfigAge,
   kWaitingRequests,
+  kQuarantinedSegments,
 };
 
 // Distributions of times, in seconds.
--- /dev/null
+++ b/src/prompt_quarantine.cc
@@ -0,0 +1,341 @@
+#include "prompt_quarantine.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+#include <xxhash.h>
+
+namespace chiverail {
+
+SegmentHash SegmentHashOf(const std::string& segment_id, const std::string& service) {
+  return XXH64(segment_id.data(), segment_id.size(), XXH64(service.data(), service.size(), 0));
+}
+
+TimePoint PromptQuarantine::LastBegun(SegmentHash segment) const {
+  for (const auto* begun : {&begun_, &begun_before_}) {
+    const auto found = begun->find(segment);
+    if (found != begun->end()) {
+      return found->second;
+    }
+  }
+  return {};
+}
+
+void PromptQuarantine::RecordBegun(SegmentHash segment, TimePoint at) {
+  if (begun_.size() >= kMaxBegun / 2 && begun_.count(segment) == 0) {
+    begun_before_ = std::exchange(begun_, {});
+  }
+  TimePoint& last = begun_.try_emplace(segment, LastBegun(segment)).first->second;
+  last = std::max(last, at);
+}
+
+void PromptQuarantine::OnBegun(const std::vector<SegmentHash>& segments, TimePoint now) {
+  for (const SegmentHash segment : segments) {
+    RecordBegun(segment, now);
+    LiftIfBegun(segment, now);
+  }
+}
+
+void PromptQuarantine::LiftIfBegun(SegmentHash segment, TimePoint now) {
+  const auto held = holds_.find(segment);
+  if (held != holds_.end() && held->second.since < LastBegun(segment)) {
+    changes_.push_back({QuarantineEvent::kLifted, segment, RetryAfter(held->second, now), {}});
+    holds_.erase(held);
+  }
+}
+
+// Requests of this instance that one end has cut are one report.
+void PromptQuarantine::OnUpstreamEnded(std::uint32_t upstream,
+                                       const std::vector<SegmentHash>& segments,
+                                       TimePoint at,
+                                       TimePoint now) {
+  if (segments.empty()) {
+    return;
+  }
+  Report report;
+  report.reporter = self_;
+  report.upstream = upstream;
+  report.at = at;
+  report.segments = segments;
+  const auto same = std::find_if(reports_.begin(), reports_.end(), [&](const Report& other) {
+    return other.reporter == self_ && other.upstream == upstream && at < other.at + kSameEnd;
+  });
+  report.sequence = same == reports_.end() ? ++sequence_ : same->sequence;
+  AddReport(std::move(report), now);
+}
+
+void PromptQuarantine::AddReport(Report report, TimePoint now) {
+  const auto known = std::find_if(reports_.begin(), reports_.end(), [&](const Report& other) {
+    return other.reporter == report.reporter && other.sequence == report.sequence;
+  });
+  if (known != reports_.end()) {
+    known->at = std::min(known->at, report.at);
+    AddSegments(report.segments, known->segments);
+    return;
+  }
+  if (reports_.size() >= kMaxReports) {
+    MakeRoom();
+  }
+  ProlongHolds(report);
+  report.known_at = now;
+  const std::vector<SegmentHash> segments = std::exchange(report.segments, {});
+  reports_.push_back(std::move(report));
+  AddSegments(segments, reports_.back().segments);
+}
+
+void PromptQuarantine::AddSegments(const std::vector<SegmentHash>& added,
+                                   std::vector<SegmentHash>& segments) {
+  for (const SegmentHash segment : added) {
+    const bool listed = std::count(segments.begin(), segments.end(), segment) > 0;
+    if (!listed && segments.size() < kMaxSegmentsPerReport) {
+      segments.push_back(segment);
+    }
+  }
+}
+
+// Requests that were on their way when their segment was held, and trials.
+void PromptQuarantine::ProlongHolds(const Report& report) {
+  for (const SegmentHash segment : report.segments) {
+    const auto held = holds_.find(segment);
+    if (held == holds_.end() || report.at <= held->second.since) {
+      continue;
+    }
+    Hold& hold = held->second;
+    if (hold.until() <= report.at) {
+      hold.strikes = std::min(hold.strikes + 1, kMaxStrikes);
+      changes_.push_back({QuarantineEvent::kProlonged, segment, hold.Length(), {report.upstream}});
+    }
+    hold.since = report.at;
+  }
+}
+
+// Drops the oldest report that makes no segment more suspect than any other, so that the ends of
+// many upstreams at once, or made-up segments, don't displace the evidence against one segment.
+void PromptQuarantine::MakeRoom() {
+  const auto upstreams = UpstreamsBySegment();
+  const auto dropped =
+      std::min_element(reports_.begin(), reports_.end(), [&](const Report& a, const Report& b) {
+        return MostUpstreams(a, upstreams) < MostUpstreams(b, upstreams);
+      });
+  reports_.erase(dropped);
+}
+
+// Upstreams that ended under each segment since it was last answered.
+PromptQuarantine::SegmentUpstreams PromptQuarantine::UpstreamsBySegment() const {
+  SegmentUpstreams upstreams;
+  for (const Report& report : reports_) {
+    for (const SegmentHash segment : report.segments) {
+      if (LastBegun(segment) < report.at) {
+        upstreams[segment].insert(report.upstream);
+      }
+    }
+  }
+  return upstreams;
+}
+
+std::size_t PromptQuarantine::MostUpstreams(const Report& report,
+                                            const SegmentUpstreams& upstreams) const {
+  std::size_t most = 0;
+  for (const SegmentHash segment : report.segments) {
+    const auto found = upstreams.find(segment);
+    if (found != upstreams.end() && LastBegun(segment) < report.at) {
+      most = std::max(most, found->second.size());
+    }
+  }
+  return most;
+}
+
+bool PromptQuarantine::IsCleared(const Report& report) const {
+  return std::all_of(report.segments.begin(), report.segments.end(),
+                     [&](SegmentHash segment) { return report.at < LastBegun(segment); });
+}
+
+PromptQuarantine::Verdict PromptQuarantine::Check(
+    const std::vector<SegmentHash>& segments,
+    const std::function<bool(SegmentHash)>& owns_trial,
+    TimePoint now) {
+  Verdict verdict;
+  for (std::size_t i = 0; i < segments.size() && !holds_.empty(); ++i) {
+    const auto held = holds_.find(segments[i]);
+    if (held == holds_.end()) {
+      continue;
+    }
+    verdict.position = i;
+    verdict.retry_after = RetryAfter(held->second, now);
+    verdict.trial = MayTry(held->first, held->second, owns_trial(segments[i]), now);
+    verdict.held = !verdict.trial;
+    if (verdict.held) {
+      break;
+    }
+  }
+  return verdict;
+}
+
+bool PromptQuarantine::MayTry(SegmentHash segment, Hold& hold, bool owns_trial, TimePoint now) {
+  const bool trial_due = hold.trial_at == TimePoint{} || hold.trial_at + kTrialTime <= now;
+  if (now < hold.until() || !owns_trial || !trial_due) {
+    return false;
+  }
+  hold.trial_at = now;
+  changes_.push_back({QuarantineEvent::kTrial, segment, {}, {}});
+  return true;
+}
+
+Duration PromptQuarantine::RetryAfter(const Hold& hold, TimePoint now) {
+  return std::max<Duration>(hold.until() - now, kTrialTime);
+}
+
+bool PromptQuarantine::IsSuspect(const std::vector<SegmentHash>& segments) const {
+  return std::any_of(segments.begin(), segments.end(), [&](SegmentHash segment) {
+    return LastBegun(segment) == TimePoint{} &&
+           std::any_of(reports_.begin(), reports_.end(), [&](const Report& report) {
+             return std::count(report.segments.begin(), report.segments.end(), segment) > 0;
+           });
+  });
+}
+
+// Merges the reports of all instances into the ends of upstreams, by time, without those that held
+// segments explain.
+std::vector<PromptQuarantine::End> PromptQuarantine::UnexplainedEnds() const {
+  std::vector<const Report*> by_time;
+  for (const Report& report : reports_) {
+    if (report.cleared_at == TimePoint{}) {
+      by_time.push_back(&report);
+    }
+  }
+  std::stable_sort(by_time.begin(), by_time.end(),
+                   [](const Report* a, const Report* b) { return a->at < b->at; });
+  std::vector<End> ends;
+  for (const Report* report : by_time) {
+    auto end = std::find_if(ends.begin(), ends.end(), [&](const End& other) {
+      return other.upstream == report->upstream && report->at < other.at + kSameEnd;
+    });
+    if (end == ends.end()) {
+      ends.push_back({report->upstream, report->at, report->known_at, {}});
+      end = std::prev(ends.end());
+    }
+    end->known_at = std::min(end->known_at, report->known_at);
+    end->segments.insert(report->segments.begin(), report->segments.end());
+  }
+  const auto is_explained = [this](const End& end) {
+    return std::any_of(end.segments.begin(), end.segments.end(), [&](SegmentHash segment) {
+      return holds_.count(segment) > 0 && LastBegun(segment) < end.at;
+    });
+  };
+  ends.erase(std::remove_if(ends.begin(), ends.end(), is_explained), ends.end());
+  return ends;
+}
+
+std::optional<PromptQuarantine::Culprit> PromptQuarantine::WeighSegment(
+    SegmentHash segment,
+    const std::vector<End>& ends,
+    TimePoint now) const {
+  Culprit culprit;
+  culprit.segment = segment;
+  const TimePoint begun = LastBegun(segment);
+  culprit.known = begun != TimePoint{};
+  const std::size_t needed = culprit.known ? kEndsOfKnown : kEndsOfNew;
+  std::set<std::uint32_t> upstreams;
+  TimePoint sufficient_at{};
+  for (const End& end : ends) {
+    if (end.segments.count(segment) == 0 || end.at <= begun) {
+      continue;
+    }
+    upstreams.insert(end.upstream);
+    if (culprit.last == TimePoint{} || culprit.last + kSameCause <= end.at) {
+      ++culprit.ends;
+    }
+    culprit.last = end.at;
+    if (culprit.ends <= needed) {
+      sufficient_at = std::max(sufficient_at, end.known_at);
+    }
+  }
+  if (culprit.ends < needed || upstreams.size() < 2 || now < sufficient_at + kSettleTime) {
+    return std::nullopt;
+  }
+  culprit.upstreams.assign(upstreams.begin(), upstreams.end());
+  culprit.position = PositionOf(segment);
+  return culprit;
+}
+
+// Segments of one request are reported in their order.
+std::size_t PromptQuarantine::PositionOf(SegmentHash segment) const {
+  for (auto report = reports_.rbegin(); report != reports_.rend(); ++report) {
+    const auto found = std::find(report->segments.begin(), report->segments.end(), segment);
+    if (found != report->segments.end()) {
+      return static_cast<std::size_t>(found - report->segments.begin());
+    }
+  }
+  return 0;
+}
+
+// Prefers segments that were never answered, then those with more ends, then later ones in the
+// prompt: the first ones are shared by more requests. While two have the same evidence, an answer
+// may still clear one of them, so more ends are awaited.
+std::optional<PromptQuarantine::Culprit> PromptQuarantine::FindCulprit(TimePoint now) const {
+  if (reports_.size() < kEndsOfNew) {
+    return std::nullopt;
+  }
+  const std::vector<End> ends = UnexplainedEnds();
+  std::set<SegmentHash> segments;
+  for (const End& end : ends) {
+    segments.insert(end.segments.begin(), end.segments.end());
+  }
+  const auto rank = [](const Culprit& culprit) {
+    return std::make_tuple(!culprit.known, culprit.ends, culprit.position);
+  };
+  std::optional<Culprit> best;
+  bool ambiguous = false;
+  for (const SegmentHash segment : segments) {
+    const auto culprit = WeighSegment(segment, ends, now);
+    if (!culprit) {
+      continue;
+    }
+    ambiguous = best && best->known == culprit->known && best->ends == culprit->ends;
+    if (!best || rank(*best) < rank(*culprit)) {
+      best = culprit;
+    }
+  }
+  if (best && ambiguous && best->ends < kEndsOfKnown) {
+    return std::nullopt;
+  }
+  return best;
+}
+
+void PromptQuarantine::HoldSegment(const Culprit& culprit, TimePoint now) {
+  if (holds_.size() >= kMaxHolds) {
+    const auto oldest = std::min_element(
+        holds_.begin(), holds_.end(),
+        [](const auto& a, const auto& b) { return a.second.until() < b.second.until(); });
+    holds_.erase(oldest);
+  }
+  Hold hold;
+  hold.since = culprit.last;
+  changes_.push_back(
+      {QuarantineEvent::kHeld, culprit.segment, RetryAfter(hold, now), culprit.upstreams});
+  holds_[culprit.segment] = hold;
+}
+
+void PromptQuarantine::Update(TimePoint now) {
+  for (auto held = holds_.begin(); held != holds_.end();) {
+    if (held->second.forgotten_at() <= now) {
+      changes_.push_back({QuarantineEvent::kExpired, held->first, {}, {}});
+      held = holds_.erase(held);
+    } else {
+      ++held;
+    }
+  }
+  const auto is_old = [now](const Report& report) { return report.at + kEvidenceTime <= now; };
+  reports_.erase(std::remove_if(reports_.begin(), reports_.end(), is_old), reports_.end());
+  for (Report& report : reports_) {
+    if (report.cleared_at == TimePoint{} && IsCleared(report)) {
+      report.cleared_at = now;
+    }
+  }
+  while (const auto culprit = FindCulprit(now)) {
+    HoldSegment(*culprit, now);
+  }
+}
+
+}  // namespace chiverail
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -23,9 +23,6 @@
 // as time passes.
 constexpr Duration kQueueScanInterval = milliseconds(15);
 
-// Prompt segments recorded for one end of an upstream.
-constexpr std::size_t kMaxSegmentsOfEnd = 32;
-
 // Rate that no instance reaches.
 constexpr double kNoLimit = 1e9;
 
@@ -48,6 +45,7 @@
       limits_(limits),
       log_(log),
       metrics_(metrics),
+      quarantine_(InstanceKey(self.instance, self.start_id)),
       fleet_(std::move(self), period, FleetHooks()),
       pool_(io),
       queue_scan_timer_(io),
@@ -62,6 +60,10 @@
     return cache_holders_.OnPeerRecord(segment, now);
   };
   hooks.notices = [this] { return table_notices_ ? table_notices_() : std::vector<TableNotice>{}; };
+  hooks.quarantine = [this](TimePoint now) { return quarantine_.News(now); };
+  hooks.on_quarantine = [this](const QuarantineNews& news, TimePoint now) {
+    quarantine_.Merge(news, now);
+  };
   hooks.on_notice = [this](const std::string& peer_address, const TableNotice& notice) {
     if (on_table_notice_) {
       on_table_notice_(peer_address, notice);
@@ -116,6 +118,8 @@
   upstreams_.Expire(now);
   cache_holders_.Expire(now);
   pool_.Expire();
+  quarantine_.Update(now);
+  LogQuarantineChanges();
   for (const auto& [service, service_queue] : service_queues_) {
     metrics_.Set(Gauge::kWaitingRequests, static_cast<double>(service_queue.queue.size()), service);
   }
@@ -287,32 +291,6 @@
   }
 }
 
-void Relay::CheckEnded(const UpstreamState& upstream, const std::vector<PromptSegment>& segments) {
-  const auto [end, added] = suspected_ends_.try_emplace(upstream.entry.id);
-  std::vector<std::string>& ids = end->second.segments;
-  for (std::size_t i = 0; i + 1 < segments.size() && ids.size() < kMaxSegmentsOfEnd; ++i) {
-    if (std::count(ids.begin(), ids.end(), segments[i].id) == 0) {
-      ids.push_back(segments[i].id);
-    }
-  }
-  if (!added) {
-    return;
-  }
-  end->second.at = BootTimeNow();
-  CheckConnect(io_, upstream.entry.address, UpstreamConnection::kConnectTimeout,
-               [this, id = upstream.entry.id](ConnectResult result) { OnEndChecked(id, result); });
-}
-
-void Relay::OnEndChecked(const UpstreamId& id, ConnectResult result) {
-  const auto end = suspected_ends_.extract(id);
-  const std::string outcome(NameOf(kConnectResultNames, result));
-  metrics_.Add(Counter::kBrokenUpstreams, 1, outcome);
-  log_.Write(Decision::kUpstream, {{"upstream", id},
-                                   {"outcome", "broke"},
-                                   {"new_connection", outcome},
-                                   {"unanswered_parts", end.mapped().segments}});
-}
-
 void Relay::CountRequest(const std::string& service, TimePoint now) {
   BudgetFor(service).OnRequest(now);
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -19,6 +19,7 @@
 #include "fleet_exchange.h"
 #include "header_names.h"
 #include "metrics.h"
+#include "prompt_quarantine.h"
 #include "route_table.h"
 #include "sliding_window_retry_budget.h"
 #include "slot_queue.h"
@@ -114,6 +115,14 @@
   bool MayRetry(const std::string& service, TimePoint now);
   bool TrySpendRetry(const std::string& service, TimePoint now);
 
+  // Returns the hashes of a prompt's segments that other requests may share: all but the last one.
+  static std::vector<SegmentHash> SharedSegments(const std::vector<PromptSegment>& segments,
+                                                 const std::string& service);
+
+  // Returns whether a request with these segments may be sent now.
+  PromptQuarantine::Verdict CheckQuarantine(const std::vector<SegmentHash>& segments,
+                                            TimePoint now);
+
   // Checks whether an upstream has ended whose connection broke before it began to answer a request
   // with these prompt segments. One check is made for all requests that it cuts.
   void CheckEnded(const UpstreamState& upstream, const std::vector<PromptSegment>& segments);
@@ -138,6 +147,7 @@
   UpstreamSet& upstreams() { return upstreams_; }
   FleetExchange& fleet() { return fleet_; }
   CacheHolders& cache_holders() { return cache_holders_; }
+  PromptQuarantine& quarantine() { return quarantine_; }
   UpstreamPool& pool() { return pool_; }
   // Metrics label of a route: its name, or "other" beyond the first kMaxRouteLabels routes.
   std::string RouteLabel(const std::string& route);
@@ -164,9 +174,11 @@
   struct SuspectedEnd {
     TimePoint at{};
     std::vector<std::string> segments;  // ids, without the last one of each prompt
+    std::vector<SegmentHash> hashes;    // of the same
   };
 
   void OnEndChecked(const UpstreamId& id, ConnectResult result);
+  void LogQuarantineChanges();
   ExchangeHooks FleetHooks();
   std::vector<UpstreamLoad> OwnLoads() const;
   std::vector<ServiceUse> OwnUse();
@@ -189,6 +201,7 @@
   TimePoint config_confirmed_at_{};
   UpstreamSet upstreams_;
   CacheHolders cache_holders_;
+  PromptQuarantine quarantine_;
   FleetExchange fleet_;
   std::function<std::vector<TableNotice>()> table_notices_;
   std::function<void(const std::string&, const TableNotice&)> on_table_notice_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -57,6 +57,7 @@
       relay_.names().parse_prompt_segments(request_.head.Field(relay_.names().prompt_parts));
   affinity_ = AffinityOf(segments_);
   service_name_ = PickTarget(*route_, relay_.Random()).service;
+  shared_segments_ = Relay::SharedSegments(segments_, service_name_);
   service_ = table_->Service(service_name_);
   class_ = QueueClass(route_->priority - table_->HighestPriority(service_name_),
                       table_->config().low_priority_workspaces.count(workspace_) > 0);
@@ -141,6 +142,9 @@
     RespondWithFailure(AttemptFailure::kNotConnected);
     return;
   }
+  if (!PassesQuarantine(now)) {
+    return;
+  }
   load_age_ = relay_.fleet().StateAge(now);
   if (load_age_) {
     relay_.metrics().Observe(Summary::kFleetStateAgeSeconds, *load_age_);
@@ -166,6 +170,25 @@
   Send(*choice.upstream, query.holders, now);
 }
 
+bool RelayCall::PassesQuarantine(TimePoint now) {
+  if (quarantine_trial_) {
+    return true;
+  }
+  const PromptQuarantine::Verdict verdict = relay_.CheckQuarantine(shared_segments_, now);
+  quarantine_trial_ = verdict.trial;
+  if (!verdict.held) {
+    return true;
+  }
+  last_error_ = "prompt part in quarantine: " + segments_[verdict.position].id;
+  if (caller_->response_started()) {
+    RespondWithFailure(AttemptFailure::kBroken);
+  } else {
+    Refuse(FailureStatus(AttemptFailure::kNotConnected, may_have_run_), last_error_,
+           may_have_run_ ? Duration::zero() : verdict.retry_after);
+  }
+  return false;
+}
+
 // Responds immediately if the service has no upstream to wait for.
 void RelayCall::WaitForSlot(ChoiceOutcome outcome, TimePoint now) {
   last_error_ = std::string(NameOf(kChoiceOutcomeNames, outcome));
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -40,6 +40,8 @@
   void ReadDeadline();
 
   void Place();
+  // Refuses the request if its prompt is in quarantine.
+  bool PassesQuarantine(TimePoint now);
   void WaitForSlot(ChoiceOutcome outcome, TimePoint now);
   EnqueueResult Enqueue(TimePoint now);
   void Dequeue();
@@ -97,7 +99,9 @@
   bool keyed_ = false;
   RequestClass class_ = RequestClass::kInteractive;  // class in the queue for slots
   std::uint64_t affinity_ = 0;
-  std::vector<PromptSegment> segments_;  // of the prompt, in their order
+  std::vector<PromptSegment> segments_;       // of the prompt, in their order
+  std::vector<SegmentHash> shared_segments_;  // hashes of all but the last one
+  bool quarantine_trial_ = false;             // sent to find out whether a held segment is sound
   // Address of the cache holder from which the upstream fetches prompt segments; may be empty.
   std::string segment_source_;
   TimePoint deadline_{};
--- a/tests/deadly_part_test.cc
+++ b/tests/deadly_part_test.cc
@@ -104,7 +104,7 @@
 
 // Guards against requests of one kind that end one upstream after the other (BUDGET on
 // cdsaa-rail): no more than three may be sent after the fifth end.
-TEST_CASE("A prompt part under which upstreams end is kept from the others", "[.known-red]") {
+TEST_CASE("A prompt part under which upstreams end is kept from the others") {
   MortalFixture fixture;
   const std::string path = GENERATE("/book/x", "/chat/x");
   for (int i = 0; i < 4; ++i) {
--- a/tests/exchange_fleet.h
+++ b/tests/exchange_fleet.h
@@ -26,6 +26,7 @@
     std::uint32_t capacity = 20;
     std::uint64_t runs = 0;
     std::unique_ptr<FleetExchange> exchange;  // null while it is down
+    std::unique_ptr<PromptQuarantine> quarantine;
     bool paused = false;
     bool leaving = false;
     int partition = 0;  // instances reach only those in the same partition
@@ -67,6 +68,11 @@
     hooks.record_segment = [](const CachedSegment&, TimePoint) { return false; };
     hooks.notices = [] { return std::vector<TableNotice>{}; };
     hooks.on_notice = [](const std::string&, const TableNotice&) {};
+    node.quarantine = std::make_unique<PromptQuarantine>(InstanceKey(node.id, node.runs));
+    hooks.quarantine = [&node](TimePoint time) { return node.quarantine->News(time); };
+    hooks.on_quarantine = [&node](const QuarantineNews& news, TimePoint time) {
+      node.quarantine->Merge(news, time);
+    };
     node.exchange = std::make_unique<FleetExchange>(InfoOf(index), kPeriod, std::move(hooks));
     node.exchange->SetUpstreams({kTag, 11, 12});
     for (const std::size_t seed : {0u, 1u, 2u}) {
@@ -174,6 +180,7 @@
     }
     InstanceInfo info = node.exchange->roster().self();
     info.leaving = node.leaving;
+    node.quarantine->Update(now());
     Send(index, node.exchange->Tick(std::move(info), now()));
     queue_.At(std::max(node.exchange->NextTick(), now() + milliseconds(1)),
               [this, index, run] { Tick(index, run); });
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -33,6 +33,9 @@
   report.ack = {77, 12};
   report.upstream_set = UpstreamSetHash(kTags);
   report.segments = {{3, 17}};
+  report.quarantine.crashes = {{5, 2, 17, milliseconds(40), {UINT64_MAX, 8}}};
+  report.quarantine.begun = {{8, milliseconds(30)}};
+  report.quarantine.holds = {{9, seconds(1000), 3}};
   return report;
 }
 
@@ -75,6 +78,13 @@
     CHECK(report.work.services.at(0).retries == 3);
     CHECK(report.ack.version == 12);
     CHECK(report.segments.at(0).upstream == 17);
+    CHECK(report.quarantine.crashes.at(0).reporter == 5);
+    CHECK(report.quarantine.crashes.at(0).upstream == 17);
+    CHECK(report.quarantine.crashes.at(0).age == milliseconds(40));
+    CHECK(report.quarantine.crashes.at(0).segments.at(0) == UINT64_MAX);
+    CHECK(report.quarantine.begun.at(0).segment == 8);
+    CHECK(report.quarantine.holds.at(0).age == seconds(1000));
+    CHECK(report.quarantine.holds.at(0).strikes == 3);
   }
   SECTION("forwards") {
     HubForward forward;
