Keep the stand-ins' ports apart from those of the unit tests

Cause: a soak run beside the unit tests made "A prompt part under which upstreams end is kept from the others" fail 8 times of 8 with "bind: Address already in use"; the soak's block of ports, chosen by its process id, was 18340 to 18639, which has the fixed ports of the unit tests. (Of an earlier run with two failed checks the output was not kept; it ran beside the same soak.) Change: that block is left out.

--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -24,7 +24,15 @@
 FIRST_PORT = 10240
 PORTS_PER_BLOCK = 300
 PORT_BLOCKS = 72
-next_ports = itertools.count(FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK)
+UNIT_TEST_BLOCK = 27  # 18340 to 18639: has the fixed ports of the unit tests
+
+
+def first_port():
+    block = os.getpid() % (PORT_BLOCKS - 1)
+    return FIRST_PORT + (block + (block >= UNIT_TEST_BLOCK)) * PORTS_PER_BLOCK
+
+
+next_ports = itertools.count(first_port())
 
 
 def free_ports(count):
