--- a/tests/deadly_part_test.cc
+++ b/tests/deadly_part_test.cc
@@ -31,15 +31,7 @@
         });
   }
 
-  UpstreamEntry Entry() const {
-    UpstreamEntry entry;
-    entry.id = id_;
-    entry.service = "engines";
-    entry.address = address_;
-    entry.data_centre = "west";
-    entry.slots = 8;
-    return entry;
-  }
+  UpstreamEntry Entry() const { return EntryOf(id_, address_); }
 
   bool ended() const { return listener_ == nullptr; }
   int requests() const { return requests_; }
--- a/tests/raw_fixture.h
+++ b/tests/raw_fixture.h
@@ -128,13 +128,8 @@
 struct RawFixture : RelayFixture {
   explicit RawFixture(RawServer::Handler handler) : server(io, kRawPort, std::move(handler)) {
     Configure();
-    UpstreamEntry entry;
-    entry.id = "raw-1";
-    entry.service = "engines";
-    entry.address = "127.0.0.1:" + std::to_string(kRawPort);
-    entry.data_centre = "west";
-    entry.slots = 8;
-    relay.upstreams().Apply(entry, BootTimeNow());
+    relay.upstreams().Apply(EntryOf("raw-1", "127.0.0.1:" + std::to_string(kRawPort)),
+                            BootTimeNow());
   }
 
   RawServer server;
