--- a/src/relay.cc
+++ b/src/relay.cc
@@ -76,7 +76,7 @@
   std::make_shared<RelayCall>(*this, caller, std::move(request))->Start();
 }
 
-void Relay::Apply(RoutingConfig config) {
+void Relay::Apply(RoutingConfig config, const ConfigOrigin& origin) {
   if (table_ && config.version < table_->version()) {
     return;
   }
@@ -84,6 +84,8 @@
   if (changed) {
     log_.Write(Decision::kConfig, {{"version", config.version},
                                    {"before", table_ ? table_->version() : 0},
+                                   {"source", origin.source.empty() ? "store" : origin.source},
+                                   {"age_ms", std::chrono::ceil<milliseconds>(origin.age).count()},
                                    {"routes", config.routes.size()},
                                    {"keys", config.workspace_of_key.size()}});
     table_ = std::make_shared<const RouteTable>(std::move(config));
--- a/src/relay.h
+++ b/src/relay.h
@@ -41,6 +41,12 @@
   double cold_slack = 0;      // additional requests per second beyond cold_overage
 };
 
+// Where a configuration was read.
+struct ConfigOrigin {
+  std::string source;  // peer address of an instance; empty for the platform's store
+  Duration age{};      // of the rows when they arrived
+};
+
 // State shared by all requests of one instance: the configuration in force, the upstreams, the
 // other instances, the queues and the retry budgets. Used only by the io_context's single thread.
 class Relay {
@@ -58,8 +64,9 @@
   // Relays one request of a caller to an upstream.
   void Handle(const std::shared_ptr<CallerConnection>& caller, CallerRequest request);
 
-  // Puts a configuration in force unless its version is lower than that of the current one.
-  void Apply(RoutingConfig config);
+  // Puts a configuration in force unless its version is lower than that of the current one. `origin`
+  // goes to the log.
+  void Apply(RoutingConfig config, const ConfigOrigin& origin = {});
 
   // Records that the configuration in force was still the newest one at `time`.
   void OnConfigConfirmed(TimePoint time);
