Read rows from any instance that has recent ones, and try the store together

Cause: waits in series. The next reader called the store only after the timeout of the one before (1.5 s each), the other instances after a draw of up to 2.3 s, and instances of other data centres did not read from the one that had the rows.

--- a/src/fleet_exchange.h
+++ b/src/fleet_exchange.h
@@ -14,6 +14,7 @@
 
 #include "fleet_messages.h"
 #include "fleet_roster.h"
+#include "notice_relay.h"
 #include "types.h"
 
 namespace chiverail {
@@ -54,7 +55,7 @@
   std::function<bool(const CachedSegment&, TimePoint)> record_segment;
   // State of this instance's copies of the platform's tables, if it reads them itself.
   std::function<std::vector<TableNotice>()> notices;
-  // Called with the state of another instance's copy of a table.
+  // Called with the state of the copy of a table at the instance with this peer address.
   std::function<void(const std::string& peer_address, const TableNotice&)> on_notice;
   // What this instance knows of prompt segments that end upstreams, and what others know.
   std::function<QuarantineNews(TimePoint)> quarantine;
@@ -221,6 +222,10 @@
   bool AcceptWork(const InstanceWork& work, TimePoint now, bool reported);
   void ApplyRoster(std::uint32_t source, const RosterChanges& changes, bool trusted, TimePoint now);
   void ApplyHubRoster(std::uint32_t hub, const RosterChanges& changes, TimePoint now);
+  void RecordNotices(const std::vector<TableNotice>& notices,
+                     const std::string& from,
+                     bool reported,
+                     TimePoint now);
   void RecordSegments(const std::vector<CachedSegment>& segments, TimePoint now, bool reported);
   RosterAck AckFor(std::uint32_t source) const;
   bool HasReporters(TimePoint now) const;
@@ -271,6 +276,7 @@
   std::set<InstanceId> full_roster_listed_;  // the instances received of it so far
   SegmentLog reported_segments_;  // of this instance and those that report to it, for forwards
   SegmentLog all_segments_;       // for summaries
+  NoticeRelay notice_relay_;
 
   mutable Totals totals_;
   mutable TimePoint totals_at_{};
--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 // First element of each message; changes with every release that changes the format.
-constexpr int kFormatVersion = 7;
+constexpr int kFormatVersion = 8;
 
 // Second element: the type of the message.
 constexpr int kReportType = 0;
@@ -237,15 +237,16 @@
     list.push_back(notice.table);
     list.push_back(notice.version);
     list.push_back(WholeMilliseconds(notice.age));
+    list.push_back(notice.source);
   }
   return list;
 }
 
 std::vector<TableNotice> NoticesFrom(const json& list) {
   std::vector<TableNotice> notices;
-  for (std::size_t i = 0; i < Records(list, 3).size(); i += 3) {
-    notices.push_back(
-        {list[i].get<std::string>(), list[i + 1].get<std::uint64_t>(), AgeFrom(list[i + 2])});
+  for (std::size_t i = 0; i < Records(list, 4).size(); i += 4) {
+    notices.push_back({list[i].get<std::string>(), list[i + 1].get<std::uint64_t>(),
+                       AgeFrom(list[i + 2]), list[i + 3].get<std::string>()});
   }
   return notices;
 }
@@ -336,7 +337,7 @@
   json operator()(const InstanceReport& report) const {
     return json::array({kFormatVersion, kReportType, Encode(report.info), Encode(report.work),
                         Encode(report.ack), report.upstream_set, Encode(report.segments),
-                        Encode(report.quarantine)});
+                        Encode(report.notices), Encode(report.quarantine)});
   }
   json operator()(const HubForward& forward) const {
     json work = json::array();
@@ -365,7 +366,8 @@
   report.ack = AckFrom(message.at(4));
   report.upstream_set = TagFrom(message.at(5));
   report.segments = SegmentsFrom(message.at(6));
-  report.quarantine = QuarantineFrom(message.at(7));
+  report.notices = NoticesFrom(message.at(7));
+  report.quarantine = QuarantineFrom(message.at(8));
   if (report.work.key != InstanceKey(report.info.instance, report.info.start_id)) {
     throw MalformedMessage("key of another instance");
   }
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -79,11 +79,13 @@
   std::uint64_t version = 0;
 };
 
-// State of the sender's copy of one of the platform's tables.
+// State of an instance's copy of one of the platform's tables. Only instances that read the store
+// themselves send notices; hubs pass them on.
 struct TableNotice {
   std::string table;
   std::uint64_t version = 0;  // of the last row that changed
   Duration age{};             // of the copy; whole milliseconds in messages
+  std::string source;         // peer address of the instance with the copy; empty for the sender
 };
 
 // From an instance to its hub, which answers with a HubSummary.
@@ -93,6 +95,7 @@
   RosterAck ack;
   std::uint32_t upstream_set = 0;  // UpstreamSetHash of the upstreams that the sender knows
   std::vector<CachedSegment> segments;
+  std::vector<TableNotice> notices;
   QuarantineNews quarantine;
 };
 
--- a/src/fleet_receive.cc
+++ b/src/fleet_receive.cc
@@ -37,6 +37,20 @@
   }
 }
 
+void FleetExchange::RecordNotices(const std::vector<TableNotice>& notices,
+                                  const std::string& from,
+                                  bool reported,
+                                  TimePoint now) {
+  for (const TableNotice& notice : notices) {
+    const std::string& source = notice.source.empty() ? from : notice.source;
+    if (source == roster_.self().peer_address) {
+      continue;
+    }
+    notice_relay_.OnNotice(source, notice, reported, now);
+    hooks_.on_notice(source, notice);
+  }
+}
+
 // Changes are applied without gaps only. If a message is lost, the sender repeats them, since its
 // receiver does not acknowledge them. Liveness is judged by this instance's hub or, if it is one,
 // by itself: from any other source it learns only of instances that it does not know.
@@ -115,6 +129,7 @@
   AcceptWork(report.work, now, true);
   hooks_.on_quarantine(report.quarantine, now);
   RecordSegments(report.segments, now, true);
+  RecordNotices(report.notices, from, true, now);
   NoteContact(now);
   const auto [reporter, added] = reporters_.try_emplace(report.info.instance);
   if (added) {
@@ -163,9 +178,7 @@
     AcceptWork(work, now, false);
   }
   RecordSegments(forward.segments, now, false);
-  for (const TableNotice& notice : forward.notices) {
-    hooks_.on_notice(from, notice);
-  }
+  RecordNotices(forward.notices, from, false, now);
   hooks_.on_quarantine(forward.quarantine, now);
   return std::nullopt;
 }
@@ -196,9 +209,7 @@
     ApplyRoster(key, summary.roster, false, now);
   }
   RecordSegments(summary.segments, now, false);
-  for (const TableNotice& notice : summary.notices) {
-    hooks_.on_notice(from, notice);
-  }
+  RecordNotices(summary.notices, from, false, now);
   hooks_.on_quarantine(summary.quarantine, now);
   if (summary.roster.more && (from_hub || is_hub_)) {
     // The rest of the roster is asked for at once: a new instance knows few others so far.
--- a/src/fleet_roster.cc
+++ b/src/fleet_roster.cc
@@ -256,6 +256,15 @@
   return accepting.empty() ? not_leaving : accepting;
 }
 
+double FleetRoster::DirectReadTurn() const {
+  const auto& ranked = Ranked(self().data_centre);
+  const auto own = std::find(ranked.begin(), ranked.end(), self_);
+  if (own == ranked.end()) {
+    return 1;  // leaving
+  }
+  return static_cast<double>(own - ranked.begin()) / static_cast<double>(ranked.size());
+}
+
 std::vector<std::string> FleetRoster::StoreReaders() const {
   const auto reachable = [this](const DataCentreId& data_centre) {
     std::vector<InstanceId> instances;
--- a/src/fleet_roster.h
+++ b/src/fleet_roster.h
@@ -92,6 +92,10 @@
   // instances of this data centre, those of the others are used.
   std::vector<std::string> StoreReaders() const;
 
+  // Returns the place of this instance, from 0 to 1, in the order in which the instances try the
+  // platform's store when none is known to reach it: by rank, in all data centres at once.
+  double DirectReadTurn() const;
+
   const std::map<InstanceId, Member>& members() const { return members_; }
   std::uint64_t version() const { return version_; }
 
--- a/src/fleet_send.cc
+++ b/src/fleet_send.cc
@@ -52,6 +52,7 @@
   if (own_reports_.size() > kMaxOwnReports) {
     own_reports_.pop_front();
   }
+  report.notices = hooks_.notices();
   report.quarantine = hooks_.quarantine(now);
   report.ack = ack;
   report.upstream_set = upstream_set_;
@@ -91,6 +92,7 @@
   first.ack = AckFor(hub.key);
   first.segments = reported_segments_.Take(link.segment_cursor);
   first.notices = hooks_.notices();
+  notice_relay_.AddReported(first.notices, now);
   first.quarantine = hooks_.quarantine(now);
   first.work.push_back(OwnWork());
   std::vector<HubForward> forwards{std::move(first)};
@@ -231,6 +233,7 @@
   }
   summary.segments = all_segments_.Take(reporters_.at(report.info.instance).segment_cursor);
   summary.notices = hooks_.notices();
+  notice_relay_.AddForReporter(summary.notices, InstanceRank(report.info.instance), now);
   summary.quarantine = hooks_.quarantine(now);
   out.push_back({address, std::move(summary), report.upstream_set == upstream_set_});
 }
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -20,6 +20,10 @@
 // Shortest time between two ticks of the exchange with other instances.
 constexpr Duration kMinTick = milliseconds(5);
 
+// Shortest time between two announcements of new rows. Without one the others are told with the
+// next regular message.
+constexpr Duration kMinRowsAnnouncement = milliseconds(100);
+
 // Interval at which a leaving process checks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
 
@@ -210,6 +214,15 @@
   }
 }
 
+void Gateway::AnnounceRows() {
+  const TimePoint now = BootTimeNow();
+  if (rows_announced_at_ + kMinRowsAnnouncement <= now) {
+    rows_announced_at_ = now;
+    SendToPeers(relay_.fleet().Announce(OwnInfo(), now));
+    NoteRosterChange();
+  }
+}
+
 void Gateway::NoteRosterChange() {
   const std::uint64_t version = relay_.fleet().roster().version();
   if (on_roster_change_ && std::exchange(roster_version_, version) != version) {
--- a/src/relay.h
+++ b/src/relay.h
@@ -64,8 +64,8 @@
   // Relays one request of a caller to an upstream.
   void Handle(const std::shared_ptr<CallerConnection>& caller, CallerRequest request);
 
-  // Puts a configuration in force unless its version is lower than that of the current one. `origin`
-  // goes to the log.
+  // Puts a configuration in force unless its version is lower than that of the current one.
+  // `origin` goes to the log.
   void Apply(RoutingConfig config, const ConfigOrigin& origin = {});
 
   // Records that the configuration in force was still the newest one at `time`.
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -11,7 +11,7 @@
 import time
 import unittest
 
-from gateway_standins import WAIT_S, Gateway, Store, Worker, config, wait_until
+from gateway_standins import WAIT_S, Door, Gateway, Store, Worker, config, wait_until
 
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
 
@@ -141,6 +141,34 @@
         self.store.down = False
         wait_until(lambda: gateway.send_request("/book/x")[0] == 200, "served again")
 
+    def test_a_change_is_in_force_in_time_while_the_store_is_silent_toward_all_instances_but_one(self):
+        # Day nodes-silent of cdsaa-rail: an instance refused a route with 404 more than 2 s after the store had
+        # confirmed the configuration with it.
+        self.store.put("op", "config", config(2))
+        doors = [Door() for _ in range(6)]
+        for number, door in enumerate(doors):
+            seeds = "127.0.0.1:%d" % self.gateways[0].peer if self.gateways else ""
+            self.gateways.append(Gateway(os.path.join(BUILD, "chiverail_gateway"), "front-%d" % number,
+                                         self.store.add_door(door), seeds,
+                                         data_centre="west" if number % 2 else "east"))
+        wait_until(lambda: all(gateway.is_ready() for gateway in self.gateways), "all ready")
+        time.sleep(2)  # each knows all others
+        for version, served in ((3, doors[0]), (4, doors[5])):
+            for door in doors:
+                door.silent = door is not served
+            self.store.put("op", "config", config(version))
+            confirmed = time.monotonic()
+            newest = b"chiverail_revision_in_force %d" % version
+            wait_until(lambda: all(newest in gateway.get(gateway.metrics, "/metrics")[1] for gateway in self.gateways),
+                       "the newest configuration is in force everywhere")
+            self.assertLess(time.monotonic() - confirmed, 2.0)
+            for door in doors:
+                door.silent = False
+            time.sleep(3.5)  # the store counts as lost for 3 s after a failed call
+        for door in doors:
+            door.silent = False
+            door.ended.set()
+
     def test_the_directory_lists_all_live_instances(self):
         first = self.start_serving()
         second = self.start()
