Take a gap in this instance's reads for an outage only if all had it

Cause: an instance that had not read the list for 2.5 s took the list for having been out, and kept entries that were missing for 2.2 s, because live upstreams write theirs again after an outage. The store had been silent toward this instance only.

Change: the notices of other instances tell that the list was readable, so their reads count in the gap. The new section of upstream_set_test fails without the change.

--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -104,7 +104,8 @@
 }
 
 void UpstreamSet::OnListRead(TimePoint as_of, TimePoint now) {
-  if (list_as_of_ != TimePoint{} && as_of > list_as_of_ + kListOutageThreshold) {
+  const TimePoint last_read = std::max(list_as_of_, list_seen_as_of_);
+  if (list_as_of_ != TimePoint{} && as_of > last_read + kListOutageThreshold) {
     list_recovered_at_ = now;
   }
   list_as_of_ = std::max(list_as_of_, as_of);
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -1,6 +1,7 @@
 #ifndef CHIVERAIL_UPSTREAM_SET_H_
 #define CHIVERAIL_UPSTREAM_SET_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -60,10 +61,14 @@
   void Replace(const std::vector<UpstreamEntry>& entries, TimePoint now);
 
   // Records a successful read of the list, from the store or from another instance, with its
-  // contents at `as_of`. A gap of more than kListOutageThreshold between two reads is treated as an
-  // outage in which entries may have lapsed.
+  // contents at `as_of`. A gap of more than kListOutageThreshold between two reads, those of other
+  // instances included, is treated as an outage in which entries may have lapsed.
   void OnListRead(TimePoint as_of, TimePoint now);
 
+  // Records that another instance has read the list with its contents at `as_of`: the list itself
+  // was not out then, whatever this instance has read.
+  void OnListSeen(TimePoint as_of) { list_seen_as_of_ = std::max(list_seen_as_of_, as_of); }
+
   // Sets the data centres that operators have taken out of service.
   void SetDataCentresOutOfService(std::set<DataCentreId> excluded) {
     excluded_data_centres_ = std::move(excluded);
@@ -110,6 +115,7 @@
   std::map<std::uint32_t, UpstreamId> tags_;
   std::set<DataCentreId> excluded_data_centres_;
   TimePoint list_as_of_{};
+  TimePoint list_seen_as_of_{};  // of the newest read that another instance has told about
   TimePoint list_recovered_at_{};
 };
 
--- a/tests/upstream_set_test.cc
+++ b/tests/upstream_set_test.cc
@@ -97,6 +97,19 @@
     upstreams.Remove("c", now);
     CHECK(upstreams.Find("c") == nullptr);
   }
+  // Guards against a false outage (cdsaa-rail, day store-refuses-while-workers-leave, DRAIN): the
+  // store was silent toward one instance, which took its own gap for an outage of the list and sent
+  // requests to an upstream that it had been told is gone.
+  SECTION("a removal takes effect at once if only this instance could not read the list") {
+    const TimePoint later = recovered + seconds(10);
+    upstreams.OnListRead(later, later);
+    upstreams.Apply(Entry("d"), later);
+    upstreams.OnListSeen(later + seconds(2));
+    const TimePoint back = later + seconds(4);
+    upstreams.OnListRead(back, back);
+    upstreams.Remove("d", back);
+    CHECK(upstreams.Find("d") == nullptr);
+  }
   SECTION("a removal takes effect at once after the grace period") {
     const TimePoint later = recovered + seconds(10);
     upstreams.Apply(Entry("b"), later);
