--- a/src/fleet_exchange.h
+++ b/src/fleet_exchange.h
@@ -60,6 +60,9 @@
   // What this instance knows of prompt segments that end upstreams, and what others know.
   std::function<QuarantineNews(TimePoint)> quarantine;
   std::function<void(const QuarantineNews&, TimePoint)> on_quarantine;
+  // What upstreams have asked of this instance, and of others.
+  std::function<std::vector<UpstreamTermsEntry>(TimePoint)> terms;
+  std::function<void(const std::vector<UpstreamTermsEntry>&, TimePoint)> on_terms;
 };
 
 // Exchange of state between the instances of a fleet. Does no I/O: it returns the messages to send.
--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 // First element of each message; changes with every release that changes the format.
-constexpr int kFormatVersion = 8;
+constexpr int kFormatVersion = 9;
 
 // Second element: the type of the message.
 constexpr int kReportType = 0;
@@ -251,6 +251,27 @@
   return notices;
 }
 
+json Encode(const std::vector<UpstreamTermsEntry>& terms) {
+  json list = json::array();
+  for (const UpstreamTermsEntry& entry : terms) {
+    list.push_back(entry.tag);
+    list.push_back(entry.limit_per_1000);
+    list.push_back(WholeMilliseconds(entry.age));
+  }
+  return list;
+}
+
+std::vector<UpstreamTermsEntry> TermsFrom(const json& list) {
+  std::vector<UpstreamTermsEntry> terms;
+  if (Records(list, 3).size() > 3 * UpstreamTerms::kMaxEntries) {
+    throw MalformedMessage("too many limits");
+  }
+  for (std::size_t i = 0; i < list.size(); i += 3) {
+    terms.push_back({TagFrom(list[i]), CountFrom(list[i + 1]), AgeFrom(list[i + 2])});
+  }
+  return terms;
+}
+
 json Encode(const QuarantineNews& news) {
   json crashes = json::array();
   for (const CrashReport& crash : news.crashes) {
@@ -337,7 +358,7 @@
   json operator()(const InstanceReport& report) const {
     return json::array({kFormatVersion, kReportType, Encode(report.info), Encode(report.work),
                         Encode(report.ack), report.upstream_set, Encode(report.segments),
-                        Encode(report.notices), Encode(report.quarantine)});
+                        Encode(report.notices), Encode(report.quarantine), Encode(report.terms)});
   }
   json operator()(const HubForward& forward) const {
     json work = json::array();
@@ -347,7 +368,7 @@
     return json::array({kFormatVersion, kForwardType, Encode(forward.hub), forward.acts_as_hub,
                         forward.sequence, std::move(work), Encode(forward.roster),
                         Encode(forward.ack), Encode(forward.segments), Encode(forward.notices),
-                        Encode(forward.quarantine)});
+                        Encode(forward.quarantine), Encode(forward.terms)});
   }
   json operator()(const HubSummary& summary) const {
     return json::array(
@@ -355,7 +376,7 @@
          WholeMilliseconds(summary.age),
          dense_tags == nullptr ? Encode(summary.loads) : EncodeDense(summary.loads, *dense_tags),
          Encode(summary.services), Encode(summary.roster), Encode(summary.segments),
-         Encode(summary.notices), Encode(summary.quarantine)});
+         Encode(summary.notices), Encode(summary.quarantine), Encode(summary.terms)});
   }
 };
 
@@ -368,6 +389,7 @@
   report.segments = SegmentsFrom(message.at(6));
   report.notices = NoticesFrom(message.at(7));
   report.quarantine = QuarantineFrom(message.at(8));
+  report.terms = TermsFrom(message.at(9));
   if (report.work.key != InstanceKey(report.info.instance, report.info.start_id)) {
     throw MalformedMessage("key of another instance");
   }
@@ -387,6 +409,7 @@
   forward.segments = SegmentsFrom(message.at(8));
   forward.notices = NoticesFrom(message.at(9));
   forward.quarantine = QuarantineFrom(message.at(10));
+  forward.terms = TermsFrom(message.at(11));
   return forward;
 }
 
@@ -402,6 +425,7 @@
   summary.segments = SegmentsFrom(message.at(9));
   summary.notices = NoticesFrom(message.at(10));
   summary.quarantine = QuarantineFrom(message.at(11));
+  summary.terms = TermsFrom(message.at(12));
   return summary;
 }
 
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -10,6 +10,7 @@
 #include "cache_holders.h"
 #include "prompt_quarantine.h"
 #include "types.h"
+#include "upstream_terms.h"
 
 namespace chiverail {
 
@@ -97,6 +98,7 @@
   std::vector<CachedSegment> segments;
   std::vector<TableNotice> notices;
   QuarantineNews quarantine;
+  std::vector<UpstreamTermsEntry> terms;
 };
 
 // From a hub to the other hubs: the state of the instances that report to it, and its own.
@@ -111,6 +113,7 @@
   std::vector<CachedSegment> segments;
   std::vector<TableNotice> notices;
   QuarantineNews quarantine;
+  std::vector<UpstreamTermsEntry> terms;
 };
 
 // From a hub to an instance that has reported: the state of the fleet.
@@ -126,6 +129,7 @@
   std::vector<CachedSegment> segments;
   std::vector<TableNotice> notices;
   QuarantineNews quarantine;
+  std::vector<UpstreamTermsEntry> terms;
 };
 
 using FleetMessage = std::variant<InstanceReport, HubForward, HubSummary>;
--- a/src/fleet_receive.cc
+++ b/src/fleet_receive.cc
@@ -128,6 +128,7 @@
   }
   AcceptWork(report.work, now, true);
   hooks_.on_quarantine(report.quarantine, now);
+  hooks_.on_terms(report.terms, now);
   RecordSegments(report.segments, now, true);
   RecordNotices(report.notices, from, true, now);
   NoteContact(now);
@@ -180,6 +181,7 @@
   RecordSegments(forward.segments, now, false);
   RecordNotices(forward.notices, from, false, now);
   hooks_.on_quarantine(forward.quarantine, now);
+  hooks_.on_terms(forward.terms, now);
   return std::nullopt;
 }
 
@@ -211,6 +213,7 @@
   RecordSegments(summary.segments, now, false);
   RecordNotices(summary.notices, from, false, now);
   hooks_.on_quarantine(summary.quarantine, now);
+  hooks_.on_terms(summary.terms, now);
   if (summary.roster.more && (from_hub || is_hub_)) {
     // The rest of the roster is asked for at once: a new instance knows few others so far.
     SendReport(from, AckFor(key), now, out);
--- a/src/fleet_roster.cc
+++ b/src/fleet_roster.cc
@@ -242,6 +242,16 @@
   return live;
 }
 
+std::vector<InstanceId> FleetRoster::RecentInstances(TimePoint now, Duration silence) const {
+  std::vector<InstanceId> recent;
+  for (const auto& [id, member] : members_) {
+    if (member.live || (!member.info.leaving && now < member.heard_at + silence)) {
+      recent.push_back(id);
+    }
+  }
+  return recent;
+}
+
 std::vector<DirectoryEntry> FleetRoster::CallerEntries() const {
   std::vector<DirectoryEntry> accepting;
   std::vector<DirectoryEntry> not_leaving;
--- a/src/fleet_roster.h
+++ b/src/fleet_roster.h
@@ -78,6 +78,9 @@
   // Ids of the live instances, this one included.
   std::vector<InstanceId> LiveInstances() const;
 
+  // Ids of the live instances and of those that were heard of within `silence`, this one included.
+  std::vector<InstanceId> RecentInstances(TimePoint now, Duration silence) const;
+
   // Number of live instances, this one included.
   std::size_t live_count() const { return live_count_; }
 
--- a/src/fleet_send.cc
+++ b/src/fleet_send.cc
@@ -54,6 +54,7 @@
   }
   report.notices = hooks_.notices();
   report.quarantine = hooks_.quarantine(now);
+  report.terms = hooks_.terms(now);
   report.ack = ack;
   report.upstream_set = upstream_set_;
   asked_[address] = now;
@@ -94,6 +95,7 @@
   first.notices = hooks_.notices();
   notice_relay_.AddReported(first.notices, now);
   first.quarantine = hooks_.quarantine(now);
+  first.terms = hooks_.terms(now);
   first.work.push_back(OwnWork());
   std::vector<HubForward> forwards{std::move(first)};
   for (const auto& [key, peer] : work_) {
@@ -235,6 +237,7 @@
   summary.notices = hooks_.notices();
   notice_relay_.AddForReporter(summary.notices, InstanceRank(report.info.instance), now);
   summary.quarantine = hooks_.quarantine(now);
+  summary.terms = hooks_.terms(now);
   out.push_back({address, std::move(summary), report.upstream_set == upstream_set_});
 }
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -20,9 +20,9 @@
 // Shortest time between two ticks of the exchange with other instances.
 constexpr Duration kMinTick = milliseconds(5);
 
-// Shortest time between two announcements of new rows. Without one the others are told with the
+// Shortest time between two announcements of news. Without one the others are told with the
 // next regular message.
-constexpr Duration kMinRowsAnnouncement = milliseconds(100);
+constexpr Duration kMinAnnouncement = milliseconds(100);
 
 // Interval at which a leaving process checks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
@@ -98,6 +98,7 @@
   for (const std::string& address : settings_.SeedAddresses()) {
     relay_.fleet().AddSeed(address);
   }
+  relay_.SetAnnounce([this] { AnnounceNews(); });
   TickFleet();
   WaitForSignal();
   RunHandlers();
@@ -214,10 +215,10 @@
   }
 }
 
-void Gateway::AnnounceRows() {
+void Gateway::AnnounceNews() {
   const TimePoint now = BootTimeNow();
-  if (rows_announced_at_ + kMinRowsAnnouncement <= now) {
-    rows_announced_at_ = now;
+  if (news_announced_at_ + kMinAnnouncement <= now) {
+    news_announced_at_ = now;
     SendToPeers(relay_.fleet().Announce(OwnInfo(), now));
     NoteRosterChange();
   }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -62,9 +62,8 @@
   // once, so that they read from another instance.
   void OnStoreFailed();
 
-  // Called by the adapter when it has read new rows from the platform's store: the others are told
-  // at once.
-  void AnnounceRows();
+  // Tells the others at once of new rows from the platform's store or of new terms of an upstream.
+  void AnnounceNews();
 
   // Sets a callback that is called when instances have come, gone or changed.
   void OnRosterChange(std::function<void()> callback) { on_roster_change_ = std::move(callback); }
@@ -110,7 +109,7 @@
   std::function<void()> on_leaving_;
   std::function<bool()> store_check_;
   std::function<void()> on_roster_change_;
-  TimePoint rows_announced_at_{};
+  TimePoint news_announced_at_{};
   std::uint64_t roster_version_ = 0;  // at the last call of on_roster_change_
   TimePoint next_expiry_{};
   TimePoint loads_updated_at_{};
--- a/src/header_names.h
+++ b/src/header_names.h
@@ -25,6 +25,8 @@
   // Address of an engine that has the prompt segments cached.
   std::string fetch_parts_from = "Fetch-Parts-From";
   std::string retry_after = "Retry-After";
+  // Requests per second that an upstream takes from all instances together.
+  std::string request_limit = "Request-Limit";
   // Fields that only the system may set; removed from requests of callers.
   std::vector<std::string> reserved;
 
--- a/src/http_message.cc
+++ b/src/http_message.cc
@@ -109,6 +109,16 @@
   return {};
 }
 
+std::vector<std::string_view> MessageHead::Fields(std::string_view name) const {
+  std::vector<std::string_view> values;
+  for (const auto& [field, value] : fields) {
+    if (SameFieldName(field, name)) {
+      values.push_back(value);
+    }
+  }
+  return values;
+}
+
 bool SameFieldName(std::string_view a, std::string_view b) {
   return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -42,6 +42,9 @@
 
   // Value of the first field called `name`, compared case-insensitively; empty if absent.
   std::string_view Field(std::string_view name) const;
+
+  // Values of all fields called `name`.
+  std::vector<std::string_view> Fields(std::string_view name) const;
 };
 
 // Compares two header field names case-insensitively.
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -42,6 +42,7 @@
   kUpstreamResponses,
   kStreamsEndedInsideEvent,
   kBrokenUpstreams,
+  kMalformedTerms,
 };
 
 // Gauges; each shows the last value set.
@@ -63,6 +64,7 @@
   kConfigAge,
   kWaitingRequests,
   kQuarantinedSegments,
+  kLimitedUpstreams,
 };
 
 // Distributions of times, in seconds.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -23,6 +23,17 @@
 // as time passes.
 constexpr Duration kQueueScanInterval = milliseconds(15);
 
+// The shares of a fleet without changes are computed again after this time.
+constexpr Duration kShareLifetime = seconds(1);
+
+// Time for which an instance that has fallen silent keeps its share.
+constexpr Duration kSilentShareTime = seconds(10);
+
+// Limits of Retry-After if all upstreams have named limits that leave no room, before they are
+// spread over twice the time.
+constexpr Duration kMinLimitRetry = milliseconds(250);
+constexpr Duration kMaxLimitRetry = seconds(2);
+
 // Rate that no instance reaches.
 constexpr double kNoLimit = 1e9;
 
@@ -64,6 +75,13 @@
   hooks.on_quarantine = [this](const QuarantineNews& news, TimePoint now) {
     quarantine_.Merge(news, now);
   };
+  hooks.terms = [this](TimePoint now) { return terms_.News(now); };
+  hooks.on_terms = [this](const std::vector<UpstreamTermsEntry>& news, TimePoint now) {
+    if (!news.empty()) {
+      terms_.Merge(news, now);
+      allowances_.clear();
+    }
+  };
   hooks.on_notice = [this](const std::string& peer_address, const TableNotice& notice) {
     if (on_table_notice_) {
       on_table_notice_(peer_address, notice);
@@ -120,6 +138,8 @@
   upstreams_.Expire(now);
   cache_holders_.Expire(now);
   pool_.Expire();
+  terms_.Expire(now);
+  metrics_.Set(Gauge::kLimitedUpstreams, static_cast<double>(terms_.limited(now)));
   quarantine_.Update(now);
   LogQuarantineChanges();
   for (const auto& [service, service_queue] : service_queues_) {
@@ -158,26 +178,80 @@
   return uses;
 }
 
-// The share of each instance is computed once for each change of the fleet, since it takes a pass
-// over all instances and is needed for every cold upstream in every choice.
+// The shares take a pass over all instances and are needed for every cold or limited upstream in
+// every choice, so they are computed once for each change of the fleet. Instances that have fallen
+// silent a short while ago keep their shares: they may go on sending on their side of a partition.
+void Relay::RefreshShares(TimePoint now) {
+  if (shares_version_ == fleet_.roster().version() && now < shares_at_ + kShareLifetime) {
+    return;
+  }
+  shares_version_ = fleet_.roster().version();
+  shares_at_ = now;
+  cold_limits_.clear();
+  allowances_.clear();
+  sharing_instances_ = fleet_.roster().RecentInstances(now, kSilentShareTime);
+}
+
 double Relay::ColdLimit(const ServiceConfig& service, const UpstreamState& upstream) {
   if (service.cold_per_second <= 0) {
     return kNoLimit;  // the service accepts full load immediately after a start
   }
-  if (cold_version_ != fleet_.roster().version() || live_instances_.empty()) {
-    cold_version_ = fleet_.roster().version();
-    cold_limits_.clear();
-    live_instances_ = fleet_.roster().LiveInstances();
-  }
+  RefreshShares(BootTimeNow());
   const auto [limit, added] = cold_limits_.try_emplace(upstream.tag);
   if (added) {
     const double fleet = service.cold_per_second * limits_.cold_overage + limits_.cold_slack;
-    limit->second = ColdLimitPerInstance(fleet * kColdShare, live_instances_,
-                                         fleet_.roster().self().instance, upstream.entry.id);
+    limit->second = static_cast<double>(FleetShare(static_cast<std::size_t>(fleet * kColdShare),
+                                                   sharing_instances_,
+                                                   fleet_.roster().self().instance, upstream.tag));
   }
   return limit->second;
 }
 
+std::optional<UpstreamTerms::Allowance> Relay::AllowanceOf(const UpstreamState& upstream,
+                                                           TimePoint now) {
+  if (terms_.empty()) {
+    return std::nullopt;
+  }
+  RefreshShares(now);
+  const auto [allowance, added] = allowances_.try_emplace(upstream.tag);
+  if (added) {
+    allowance->second =
+        terms_.AllowanceOf(upstream.tag, sharing_instances_, fleet_.roster().self().instance, now);
+  }
+  return allowance->second;
+}
+
+void Relay::OnUpstreamHead(const UpstreamState& upstream, const MessageHead& head, TimePoint now) {
+  const StatedTerms stated = ParseRequestLimit(head.Fields(names_.request_limit));
+  if (stated.malformed) {
+    metrics_.Add(Counter::kMalformedTerms);
+    return;
+  }
+  if (!terms_.OnAnswer(upstream.tag, stated, now)) {
+    return;
+  }
+  allowances_.clear();
+  log_.Write(Decision::kUpstream, {{"upstream", upstream.entry.id},
+                                   {"outcome", stated.request_limit > 0 ? "limit" : "limit ended"},
+                                   {"per_s", stated.request_limit}});
+  if (announce_) {
+    announce_();
+  }
+}
+
+void Relay::OnUpstreamRestarted(const UpstreamState& upstream) {
+  cache_holders_.RemoveEngine(upstream.tag);
+  terms_.Forget(upstream.tag);
+  allowances_.clear();
+}
+
+Duration Relay::LimitRetryDelay(const std::string& service, TimePoint now) {
+  const Duration wait = TimeUntilAllowed(upstreams_, QueryFor(service, nullptr), now);
+  const double spread = 1 + static_cast<double>(Random() % 1000) / 1000;
+  return std::chrono::duration_cast<Duration>(
+      std::clamp<Duration>(wait, kMinLimitRetry, kMaxLimitRetry) * spread);
+}
+
 ChoiceQuery Relay::QueryFor(const std::string& service, const ServiceConfig* config) {
   ChoiceQuery query;
   query.service = service;
@@ -186,6 +260,9 @@
   query.cold_limit = [this, config](const UpstreamState& upstream) {
     return config == nullptr ? kNoLimit : ColdLimit(*config, upstream);
   };
+  query.allowance = [this, now = BootTimeNow()](const UpstreamState& upstream) {
+    return AllowanceOf(upstream, now);
+  };
   return query;
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -2,8 +2,10 @@
 #define CHIVERAIL_RELAY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -27,6 +29,7 @@
 #include "upstream_choice.h"
 #include "upstream_connection.h"
 #include "upstream_set.h"
+#include "upstream_terms.h"
 
 namespace chiverail {
 
@@ -117,6 +120,23 @@
   // Number of requests per second that this instance may send to a cold upstream.
   double ColdLimit(const ServiceConfig& service, const UpstreamState& upstream);
 
+  // Requests that this instance may send to an upstream that has named a limit; nothing if it has
+  // named none.
+  std::optional<UpstreamTerms::Allowance> AllowanceOf(const UpstreamState& upstream, TimePoint now);
+
+  // Takes up what an answer of an upstream says about the requests that it wants.
+  void OnUpstreamHead(const UpstreamState& upstream, const MessageHead& head, TimePoint now);
+
+  // An upstream has been started again: its cache is empty and it has named no limit.
+  void OnUpstreamRestarted(const UpstreamState& upstream);
+
+  // Time after which a request may be sent again that all upstreams of the service have no room for
+  // by the limits that they have named.
+  Duration LimitRetryDelay(const std::string& service, TimePoint now);
+
+  // Sets the function that tells the other instances at once what has changed.
+  void SetAnnounce(std::function<void()> announce) { announce_ = std::move(announce); }
+
   // Returns whether the retry budget of a service has room for one more retry, and whether it had
   // and the retry is recorded.
   bool MayRetry(const std::string& service, TimePoint now);
@@ -184,6 +204,7 @@
     std::vector<SegmentHash> hashes;    // of the same
   };
 
+  void RefreshShares(TimePoint now);
   void OnEndChecked(const UpstreamId& id, ConnectResult result);
   void LogQuarantineChanges();
   ExchangeHooks FleetHooks();
@@ -212,10 +233,14 @@
   FleetExchange fleet_;
   std::function<std::vector<TableNotice>()> table_notices_;
   std::function<void(const std::string&, const TableNotice&)> on_table_notice_;
-  // This instance's share of the cold rate by upstream tag, for the roster at `cold_version_`.
+  UpstreamTerms terms_;
+  std::function<void()> announce_;
+  // This instance's shares by upstream tag, for the instances at `shares_at_`.
   std::unordered_map<std::uint32_t, double> cold_limits_;
-  std::vector<InstanceId> live_instances_;
-  std::uint64_t cold_version_ = 0;
+  std::unordered_map<std::uint32_t, std::optional<UpstreamTerms::Allowance>> allowances_;
+  std::vector<InstanceId> sharing_instances_;
+  std::uint64_t shares_version_ = 0;  // of the roster
+  TimePoint shares_at_{};
   UpstreamPool pool_;
   std::map<UpstreamId, SuspectedEnd> suspected_ends_;  // that are being checked
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -194,6 +194,10 @@
   last_error_ = std::string(NameOf(kChoiceOutcomeNames, outcome));
   no_upstream_ = outcome == ChoiceOutcome::kNoUpstream;
   attempt_deadline_ = {};
+  if (outcome == ChoiceOutcome::kAllLimited && !may_have_run_ && !caller_->response_started()) {
+    Refuse(503, last_error_, relay_.LimitRetryDelay(service_name_, now));
+    return;
+  }
   const EnqueueResult enqueue_result = no_upstream_ ? EnqueueResult::kNoSlotFreed : Enqueue(now);
   if (enqueue_result == EnqueueResult::kQueued) {
     return;
@@ -249,7 +253,7 @@
   load_at_send_ = upstream.own_load + upstream.peer_load;
   relay_.upstreams().OnSent(upstream, now);
   relay_.Shares(service_name_).OnSent(class_, workspace_);
-  RecordColdSend(upstream, now);
+  RecordSend(upstream, now);
   segment_source_.clear();
   if (affinity_ != 0) {
     const UpstreamState* source =
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -53,6 +53,11 @@
     relay_.upstreams().OnBytesReceived(*upstream);
   }
   const HeaderNames& names = relay_.names();
+  const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
+  if (upstream != nullptr && response.head.status != 421 &&
+      response.head.Field(names.request_id) == id_) {
+    relay_.OnUpstreamHead(*upstream, response.head, BootTimeNow());
+  }
   if (!response.head.Field(names.not_run).empty()) {
     FailAttempt(AttemptFailure::kDeclined, std::to_string(response.head.status));
     return;
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -37,20 +37,30 @@
   return upstream.own_load + upstream.peer_load;
 }
 
-// Returns the number of requests sent within the window; drops older ones from the list.
-std::size_t RecentColdSends(UpstreamState& upstream, TimePoint now) {
-  while (!upstream.cold_sends.empty() && upstream.cold_sends.front() + kColdWindow <= now) {
-    upstream.cold_sends.pop_front();
-  }
-  return upstream.cold_sends.size();
+// Returns the position of the first request that was sent within the window.
+std::vector<TimePoint>::const_iterator FirstRecentSend(const UpstreamState& upstream,
+                                                       Duration window,
+                                                       TimePoint now) {
+  return std::upper_bound(upstream.recent_sends.begin(), upstream.recent_sends.end(), now - window);
+}
+
+std::size_t RecentSends(const UpstreamState& upstream, Duration window, TimePoint now) {
+  return static_cast<std::size_t>(upstream.recent_sends.end() -
+                                  FirstRecentSend(upstream, window, now));
 }
 
-bool WithinColdLimit(UpstreamState& upstream, const ChoiceQuery& query, TimePoint now) {
+bool WithinColdLimit(const UpstreamState& upstream, const ChoiceQuery& query, TimePoint now) {
   if (upstream.cold_until <= now) {
     return true;
   }
   const double limit = query.cold_limit ? query.cold_limit(upstream) : 0;
-  return static_cast<double>(RecentColdSends(upstream, now)) + 1 <= limit;
+  return static_cast<double>(RecentSends(upstream, kColdWindow, now)) + 1 <= limit;
+}
+
+// Whether the limit that the upstream has named leaves room for a request of this instance.
+bool WithinNamedLimit(const UpstreamState& upstream, const ChoiceQuery& query, TimePoint now) {
+  const auto allowance = query.allowance ? query.allowance(upstream) : std::nullopt;
+  return !allowance || RecentSends(upstream, allowance->window, now) < allowance->requests;
 }
 
 bool IsBelowSlotLimit(const UpstreamState& upstream, const ChoiceLimits& limits) {
@@ -221,12 +231,17 @@
   std::vector<UpstreamState*> candidates;
   double total = 0;
   bool over_cold_limit = false;
+  bool all_limited = true;  // all upstreams that are left have named limits that leave no room
   for (UpstreamState* upstream : usable) {
     total += TotalLoad(*upstream);
     if (query.tried != nullptr && query.tried->count(upstream->entry.id) > 0) {
       continue;
     }
     choice.outcome = ChoiceOutcome::kAllFull;
+    if (!WithinNamedLimit(*upstream, query, now)) {
+      continue;
+    }
+    all_limited = false;
     if (!WithinColdLimit(*upstream, query, now)) {
       over_cold_limit = true;
     } else if (IsBelowSlotLimit(*upstream, limits)) {
@@ -236,6 +251,8 @@
   if (candidates.empty()) {
     if (over_cold_limit) {
       choice.outcome = ChoiceOutcome::kAllCold;
+    } else if (choice.outcome == ChoiceOutcome::kAllFull && all_limited) {
+      choice.outcome = ChoiceOutcome::kAllLimited;
     }
     return choice;
   }
@@ -264,7 +281,8 @@
                  TimePoint now) {
   const auto usable = upstreams.Usable(query.service, now);
   return std::any_of(usable.begin(), usable.end(), [&](UpstreamState* upstream) {
-    return IsBelowSlotLimit(*upstream, limits) && WithinColdLimit(*upstream, query, now);
+    return IsBelowSlotLimit(*upstream, limits) && WithinColdLimit(*upstream, query, now) &&
+           WithinNamedLimit(*upstream, query, now);
   });
 }
 
@@ -293,27 +311,28 @@
   return best;
 }
 
-void RecordColdSend(UpstreamState& upstream, TimePoint now) {
-  if (now < upstream.cold_until) {
-    upstream.cold_sends.push_back(now);
-  }
+void RecordSend(UpstreamState& upstream, TimePoint now) {
+  std::vector<TimePoint>& sends = upstream.recent_sends;
+  sends.erase(sends.begin(), std::upper_bound(sends.begin(), sends.end(), now - kSendHistory));
+  sends.push_back(now);
 }
 
-double ColdLimitPerInstance(double fleet_limit,
-                            const std::vector<InstanceId>& instances,
-                            const InstanceId& self,
-                            const UpstreamId& upstream) {
-  const double share = std::floor(fleet_limit / std::max<std::size_t>(1, instances.size()));
-  if (share >= 1) {
-    return share;
+Duration TimeUntilAllowed(UpstreamSet& upstreams, const ChoiceQuery& query, TimePoint now) {
+  Duration shortest = kSendHistory;
+  for (const UpstreamState* upstream : upstreams.Usable(query.service, now)) {
+    const auto allowance = query.allowance ? query.allowance(*upstream) : std::nullopt;
+    if (!allowance || allowance->requests == 0) {
+      continue;
+    }
+    const std::size_t sent = RecentSends(*upstream, allowance->window, now);
+    if (sent < allowance->requests) {
+      return Duration::zero();
+    }
+    const auto leaves = FirstRecentSend(*upstream, allowance->window, now) +
+                        static_cast<std::ptrdiff_t>(sent - allowance->requests);
+    shortest = std::min<Duration>(shortest, *leaves + allowance->window - now);
   }
-  const auto rank = [&upstream](const InstanceId& instance) {
-    return XXH64(instance.data(), instance.size(), UpstreamTag(upstream));
-  };
-  const auto ranked_before = std::count_if(
-      instances.begin(), instances.end(),
-      [&](const InstanceId& other) { return other != self && rank(other) > rank(self); });
-  return static_cast<double>(ranked_before) < std::floor(fleet_limit) ? 1 : 0;
+  return shortest;
 }
 
 }  // namespace chiverail
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -10,6 +11,7 @@
 
 #include "types.h"
 #include "upstream_set.h"
+#include "upstream_terms.h"
 
 namespace chiverail {
 
@@ -30,6 +32,8 @@
   const std::set<UpstreamId>* tried = nullptr;  // upstreams to which the request has been sent
   // Requests per second that this instance may send to a cold upstream; if empty, none are sent.
   std::function<double(const UpstreamState&)> cold_limit;
+  // Requests that this instance may send to an upstream that has named a limit; empty for none.
+  std::function<std::optional<UpstreamTerms::Allowance>(const UpstreamState&)> allowance;
 };
 
 struct ChoiceLimits {
@@ -48,12 +52,13 @@
 };
 
 // Result of the choice; all values but kChosen say why there is no upstream.
-enum class ChoiceOutcome : std::uint8_t { kChosen, kNoUpstream, kAllFull, kAllCold };
-inline constexpr std::array<EnumName<ChoiceOutcome>, 4> kChoiceOutcomeNames{{
+enum class ChoiceOutcome : std::uint8_t { kChosen, kNoUpstream, kAllFull, kAllCold, kAllLimited };
+inline constexpr std::array<EnumName<ChoiceOutcome>, 5> kChoiceOutcomeNames{{
     {ChoiceOutcome::kChosen, "chosen"},
     {ChoiceOutcome::kNoUpstream, "no_upstream"},
     {ChoiceOutcome::kAllFull, "all_full"},
     {ChoiceOutcome::kAllCold, "all_cold"},
+    {ChoiceOutcome::kAllLimited, "all_limited"},  // by the limits that they have named
 }};
 
 // Criterion by which an upstream was chosen among those that could take the request.
@@ -104,16 +109,16 @@
                                        const UpstreamState& target,
                                        TimePoint now);
 
-// Records that a request is sent to an upstream now, if that is cold.
-void RecordColdSend(UpstreamState& upstream, TimePoint now);
+// Records that a request is sent to an upstream now. Requests are kept for kSendHistory, so that
+// they count against a limit that is named later.
+void RecordSend(UpstreamState& upstream, TimePoint now);
 
-// Returns the requests per second that instance `self` may send to a cold upstream so that all
-// `instances` together stay within `fleet_limit`. If the limit is less than one request for each,
-// the instances that rank highest for the upstream get one and the others none.
-double ColdLimitPerInstance(double fleet_limit,
-                            const std::vector<InstanceId>& instances,
-                            const InstanceId& self,
-                            const UpstreamId& upstream);
+// Returns the time until this instance may send an upstream of the service another request, of
+// those that have named a limit; kSendHistory at most.
+Duration TimeUntilAllowed(UpstreamSet& upstreams, const ChoiceQuery& query, TimePoint now);
+
+// Longest window in which requests to an upstream are counted.
+inline constexpr Duration kSendHistory = seconds(10);
 
 }  // namespace chiverail
 
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -42,7 +41,7 @@
   // When the first request was sent since the upstream last sent any bytes; zero if it has no
   // unanswered requests.
   TimePoint unanswered_since{};
-  std::deque<TimePoint> cold_sends;  // times of the requests sent in the last second, while cold
+  std::vector<TimePoint> recent_sends;  // times of the requests sent, see RecordSend
 };
 
 // All upstreams known to this instance. Follows the platform's list, which lags behind, loses
--- a/tests/exchange_fleet.h
+++ b/tests/exchange_fleet.h
@@ -28,6 +28,7 @@
     std::uint64_t runs = 0;
     std::unique_ptr<FleetExchange> exchange;  // null while it is down
     std::unique_ptr<PromptQuarantine> quarantine;
+    std::unique_ptr<UpstreamTerms> terms;
     bool paused = false;
     bool leaving = false;
     bool store_reachable = true;
@@ -77,6 +78,11 @@
     };
     node.quarantine = std::make_unique<PromptQuarantine>(InstanceKey(node.id, node.runs));
     hooks.quarantine = [&node](TimePoint time) { return node.quarantine->News(time); };
+    node.terms = std::make_unique<UpstreamTerms>();
+    hooks.terms = [&node](TimePoint time) { return node.terms->News(time); };
+    hooks.on_terms = [&node](const std::vector<UpstreamTermsEntry>& news, TimePoint time) {
+      node.terms->Merge(news, time);
+    };
     hooks.on_quarantine = [&node](const QuarantineNews& news, TimePoint time) {
       node.quarantine->Merge(news, time);
     };
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -366,4 +366,25 @@
   CHECK(fixture.relay.upstreams().Find("up-1")->own_load == 0);
 }
 
+// Guards against waiting for a slot that the limits of the upstreams will not give in time.
+TEST_CASE("A request that the limits of all upstreams leave no room for is refused at once") {
+  RelayFixture fixture;
+  fixture.Configure();
+  FakeUpstream& upstream =
+      fixture.AddUpstream("up-1", [](const Caller& caller, const CallerRequest& request) {
+        auto fields = FakeUpstream::SealFields(request);
+        fields.emplace_back("Request-Limit", "0.5");
+        caller->Respond(200, {}, fields, "result");
+      });
+  REQUIRE(fixture.SendAndWait(RelayFixture::Request("/read/x")).status == 200);
+  REQUIRE(fixture.SendAndWait(RelayFixture::Request("/read/x")).status == 200);
+  const TimePoint sent = BootTimeNow();
+  const CallerResponse refused = fixture.SendAndWait(RelayFixture::Request("/read/x"));
+  CHECK(BootTimeNow() - sent < milliseconds(100));
+  CHECK(refused.status == 503);
+  CHECK(std::stod(std::string(refused.head.Field("Retry-After"))) >= 2);
+  CHECK(upstream.requests().size() == 2);
+  CHECK(fixture.Lines("upstream").at(0)["per_s"] == 0.5);
+}
+
 }  // namespace chiverail
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -280,7 +280,7 @@
     query.cold_limit = [](const UpstreamState&) { return 2.0; };
     for (int i = 0; i < 2; ++i) {
       REQUIRE(ChooseUpstream(upstreams, query, limits, kStart).upstream == &healthy);
-      RecordColdSend(healthy, kStart);
+      RecordSend(healthy, kStart);
     }
     CHECK(ChooseUpstream(upstreams, query, limits, kStart).outcome == ChoiceOutcome::kAllCold);
     CHECK(ChooseUpstream(upstreams, query, limits, kStart + seconds(2)).upstream == &healthy);
@@ -301,12 +301,11 @@
     for (std::size_t i = 0; i < count; ++i) {
       instances.push_back("front-" + std::to_string(i));
     }
-    double sum = 0;
+    std::size_t sum = 0;
     for (const InstanceId& instance : instances) {
-      sum += ColdLimitPerInstance(32, instances, instance, "engine-0");
+      sum += FleetShare(32, instances, instance, UpstreamTag("engine-0"));
     }
-    CHECK(sum <= 32);
-    CHECK(sum > 12);
+    CHECK(sum == 32);
   }
 }
 
