Take a refusal without an id for a broken answer on a used connection

A faulty upstream may write an earlier refusal once more on a connection that has been kept.

Cause: a refusal counted whoever it was for if it had no request id. One with the id of another request was skipped before, and a connection is closed after a refusal, so only copies without an id could do harm.

Before: late_refusal_test 'An earlier refusal ...' fails in its cases without an id (the request runs at the second upstream). After: 502, one run. On a connection without an earlier response a refusal without an id is still taken at its word.

--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -58,11 +58,19 @@
       response.head.Field(names.request_id) == id_) {
     relay_.OnUpstreamHead(*upstream, response.head, BootTimeNow());
   }
-  if (!response.head.Field(names.not_run).empty()) {
+  const bool declined = !response.head.Field(names.not_run).empty();
+  const bool wrong_upstream = response.head.status == 421;
+  if ((declined || wrong_upstream) && connection_->used() &&
+      response.head.Field(names.request_id).empty()) {
+    // It may be a second copy of an earlier refusal, and the request may run.
+    FailAttempt(AttemptFailure::kBroken, "a refusal without the id of the request");
+    return;
+  }
+  if (declined) {
     FailAttempt(AttemptFailure::kDeclined, std::to_string(response.head.status));
     return;
   }
-  if (response.head.status == 421) {
+  if (wrong_upstream) {
     FailAttempt(AttemptFailure::kWrongUpstream, "another upstream has the address");
     return;
   }
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -200,6 +200,7 @@
 void UpstreamConnection::Finish() {
   reusable_ =
       parser_->head().keep_alive && read_buffer_.empty() && io_->unsent() == 0 && io_->open();
+  ++responses_;
   parser_.reset();
   read_buffer_.shrink_to_fit();
   idle_since_ = BootTimeNow();
--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -61,6 +61,9 @@
   // after it and the peer has not closed the connection.
   bool Reusable();
 
+  // True if a response has been received on this connection before the request in progress.
+  bool used() const { return responses_ > 0; }
+
   // Pauses and resumes reading while the receiver of the response is slow.
   void PauseReading() { io_->PauseReading(); }
   void ResumeReading() { io_->ResumeReading(); }
@@ -96,6 +99,7 @@
   bool sent_ = false;
   bool head_emitted_ = false;
   int interim_responses_ = 0;
+  int responses_ = 0;  // complete ones
   bool skipping_response_ = false;  // the current response belongs to another request
   bool reusable_ = false;
   TimePoint idle_since_{};
