Keep what upstreams ask of their callers: that they leave, and rests

Change: UpstreamTerms, which kept limits, keeps both as well, for each run of an upstream, and they travel with the exchange. ChooseUpstream leaves out upstreams that leave or rest, for first sends, retries and moves; others' rests only rank an upstream last. If nobody may be asked, the request is refused at once with the time until one may be. The end of a rest is spread. max_upstream_rest_ms bounds one answer.

--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 // First element of each message; changes with every release that changes the format.
-constexpr int kFormatVersion = 9;
+constexpr int kFormatVersion = 10;
 
 // Second element: the type of the message.
 constexpr int kReportType = 0;
@@ -254,20 +254,24 @@
 json Encode(const std::vector<UpstreamTermsEntry>& terms) {
   json list = json::array();
   for (const UpstreamTermsEntry& entry : terms) {
-    list.push_back(entry.tag);
+    list.push_back(entry.run);
+    list.push_back(entry.has_limit);
     list.push_back(entry.limit_per_1000);
-    list.push_back(WholeMilliseconds(entry.age));
+    list.push_back(WholeMilliseconds(entry.limit_age));
+    list.push_back(entry.leaving);
+    list.push_back(WholeMilliseconds(entry.rest));
   }
   return list;
 }
 
 std::vector<UpstreamTermsEntry> TermsFrom(const json& list) {
   std::vector<UpstreamTermsEntry> terms;
-  if (Records(list, 3).size() > 3 * UpstreamTerms::kMaxEntries) {
-    throw MalformedMessage("too many limits");
+  if (Records(list, 6).size() > 6 * UpstreamTerms::kMaxEntries) {
+    throw MalformedMessage("terms of too many upstreams");
   }
-  for (std::size_t i = 0; i < list.size(); i += 3) {
-    terms.push_back({TagFrom(list[i]), CountFrom(list[i + 1]), AgeFrom(list[i + 2])});
+  for (std::size_t i = 0; i < list.size(); i += 6) {
+    terms.push_back({TagFrom(list[i]), list[i + 1].get<bool>(), CountFrom(list[i + 2]),
+                     AgeFrom(list[i + 3]), list[i + 4].get<bool>(), AgeFrom(list[i + 5])});
   }
   return terms;
 }
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -34,6 +34,7 @@
   limits.retry_slack = settings.retry_slack;
   limits.cold_overage = settings.cold_overage;
   limits.cold_slack = settings.cold_slack;
+  limits.max_rest = settings.max_upstream_rest;
   return limits;
 }
 
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -110,6 +110,9 @@
        "the cold rate of its service."},
       {"cold_slack", NumberRow{&S::cold_slack, 0, 1e6, 0},
        "Requests per second to a cold upstream in addition to `cold_overage`."},
+      {"max_upstream_rest_ms", DurationRow{&S::max_upstream_rest, 1000, 3'600'000, 60'000},
+       "Longest time for which one answer of an upstream may turn this instance away "
+       "(`Retry-After`)."},
       {"link_mbps", NumberRow{&S::link_mbps, 0.001, 1e6, 1000},
        "Bandwidth of this instance in Mbit/s; instances with more read the store for the others."},
       {"cpu_cores", NumberRow{&S::cpu_cores, 0.001, 1024, 1},
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -40,6 +40,7 @@
   double retry_slack = 0;
   double cold_overage = 0;
   double cold_slack = 0;
+  Duration max_upstream_rest{};
   double stop_grace_s = 0;
   double link_mbps = 0;
   double cpu_cores = 0;
--- a/src/header_names.h
+++ b/src/header_names.h
@@ -27,6 +27,7 @@
   std::string retry_after = "Retry-After";
   // Requests per second that an upstream takes from all instances together.
   std::string request_limit = "Request-Limit";
+  std::string leaving = "Leaving";  // "1" if an upstream is about to end
   // Fields that only the system may set; removed from requests of callers.
   std::vector<std::string> reserved;
 
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -78,7 +78,7 @@
     {Counter::kBrokenUpstreams, "chiverail_broken_upstreams_total", "new_connection",
      "Upstreams whose connections broke before an answer had begun, by what a new one showed."},
     {Counter::kMalformedTerms, "chiverail_malformed_terms_total", "",
-     "Answers of upstreams with a request limit that can't be read."},
+     "Answers of upstreams with a request limit or a rest that can't be read."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
@@ -110,8 +110,8 @@
      "Gateway requests queued for a slot."},
     {Gauge::kQuarantinedSegments, "chiverail_quarantined_parts", "",
      "Prompt parts in quarantine, because upstreams ended under them."},
-    {Gauge::kLimitedUpstreams, "chiverail_limited_upstreams", "",
-     "Upstreams that have named a limit for their requests per second."},
+    {Gauge::kUpstreamTerms, "chiverail_upstream_terms", "kind",
+     "Upstreams that have named a limit, leave, or have turned this instance away for a while."},
     {Gauge::kConfigAge, "chiverail_config_age_seconds", "",
      "Time since the configuration in force was last confirmed as the newest."},
 };
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -64,7 +64,7 @@
   kConfigAge,
   kWaitingRequests,
   kQuarantinedSegments,
-  kLimitedUpstreams,
+  kUpstreamTerms,
 };
 
 // Distributions of times, in seconds.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -29,10 +29,10 @@
 // Time for which an instance that has fallen silent keeps its share.
 constexpr Duration kSilentShareTime = seconds(10);
 
-// Limits of Retry-After if all upstreams have named limits that leave no room, before they are
+// Least Retry-After if no upstream has room by what it has asked, and the time up to which it is
 // spread over twice the time.
-constexpr Duration kMinLimitRetry = milliseconds(250);
-constexpr Duration kMaxLimitRetry = seconds(2);
+constexpr Duration kMinTermsRetry = milliseconds(250);
+constexpr Duration kMaxTermsRetry = seconds(2);
 
 // Rate that no instance reaches.
 constexpr double kNoLimit = 1e9;
@@ -139,7 +139,10 @@
   cache_holders_.Expire(now);
   pool_.Expire();
   terms_.Expire(now);
-  metrics_.Set(Gauge::kLimitedUpstreams, static_cast<double>(terms_.limited(now)));
+  const UpstreamTerms::Counts counts = terms_.CountTerms(now);
+  metrics_.Set(Gauge::kUpstreamTerms, static_cast<double>(counts.limited), "limited");
+  metrics_.Set(Gauge::kUpstreamTerms, static_cast<double>(counts.leaving), "leaving");
+  metrics_.Set(Gauge::kUpstreamTerms, static_cast<double>(counts.resting), "resting");
   quarantine_.Update(now);
   LogQuarantineChanges();
   for (const auto& [service, service_queue] : service_queues_) {
@@ -215,41 +218,46 @@
   RefreshShares(now);
   const auto [allowance, added] = allowances_.try_emplace(upstream.tag);
   if (added) {
-    allowance->second =
-        terms_.AllowanceOf(upstream.tag, sharing_instances_, fleet_.roster().self().instance, now);
+    allowance->second = terms_.AllowanceOf(RunTag(upstream.entry), sharing_instances_,
+                                           fleet_.roster().self().instance, now);
   }
   return allowance->second;
 }
 
-void Relay::OnUpstreamHead(const UpstreamState& upstream, const MessageHead& head, TimePoint now) {
-  const StatedTerms stated = ParseRequestLimit(head.Fields(names_.request_limit));
+void Relay::OnUpstreamHead(const UpstreamState& upstream,
+                           const MessageHead& head,
+                           bool turned_away,
+                           TimePoint now) {
+  TermsFields fields{head.Fields(names_.request_limit), head.Fields(names_.leaving), {}};
+  if (turned_away) {
+    fields.retry_after = head.Fields(names_.retry_after);
+  }
+  const StatedTerms stated = ReadTerms(fields, limits_.max_rest);
   if (stated.malformed) {
     metrics_.Add(Counter::kMalformedTerms);
-    return;
   }
-  if (!terms_.OnAnswer(upstream.tag, stated, now)) {
+  const double spread = static_cast<double>(Random() % 1000) / 1000;
+  if (!terms_.OnAnswer(RunTag(upstream.entry), stated, spread, now)) {
     return;
   }
   allowances_.clear();
-  log_.Write(Decision::kUpstream, {{"upstream", upstream.entry.id},
-                                   {"outcome", stated.request_limit > 0 ? "limit" : "limit ended"},
-                                   {"per_s", stated.request_limit}});
+  log_.Write(Decision::kUpstream,
+             {{"upstream", upstream.entry.id},
+              {"outcome", "terms"},
+              {"limit_per_s", stated.request_limit},
+              {"leaving", stated.leaving},
+              {"rest_ms", std::chrono::duration_cast<milliseconds>(stated.rest).count()}});
   if (announce_) {
     announce_();
   }
 }
 
-void Relay::OnUpstreamRestarted(const UpstreamState& upstream) {
-  cache_holders_.RemoveEngine(upstream.tag);
-  terms_.Forget(upstream.tag);
-  allowances_.clear();
-}
-
-Duration Relay::LimitRetryDelay(const std::string& service, TimePoint now) {
+Duration Relay::TermsRetryDelay(const std::string& service, TimePoint now) {
   const Duration wait = TimeUntilAllowed(upstreams_, QueryFor(service, nullptr), now);
   const double spread = 1 + static_cast<double>(Random() % 1000) / 1000;
-  return std::chrono::duration_cast<Duration>(
-      std::clamp<Duration>(wait, kMinLimitRetry, kMaxLimitRetry) * spread);
+  return std::max<Duration>(
+      wait, std::chrono::duration_cast<Duration>(
+                std::clamp<Duration>(wait, kMinTermsRetry, kMaxTermsRetry) * spread));
 }
 
 ChoiceQuery Relay::QueryFor(const std::string& service, const ServiceConfig* config) {
@@ -263,6 +271,10 @@
   query.allowance = [this, now = BootTimeNow()](const UpstreamState& upstream) {
     return AllowanceOf(upstream, now);
   };
+  query.standing = [this, now = BootTimeNow()](const UpstreamState& upstream) {
+    return terms_.empty() ? UpstreamTerms::Standing{}
+                          : terms_.StandingOf(RunTag(upstream.entry), now);
+  };
   return query;
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -37,11 +37,12 @@
 
 // Limits of the relay, taken from the settings.
 struct RelayLimits {
-  Duration key_age{};         // keyed requests are refused if the configuration is older
-  double retry_ratio = 0.1;   // retries per request
-  double retry_slack = 10;    // additional retries, shared by all instances
-  double cold_overage = 1.0;  // multiple of a service's cold rate that all instances may send
-  double cold_slack = 0;      // additional requests per second beyond cold_overage
+  Duration key_age{};               // keyed requests are refused if the configuration is older
+  double retry_ratio = 0.1;         // retries per request
+  double retry_slack = 10;          // additional retries, shared by all instances
+  double cold_overage = 1.0;        // multiple of a service's cold rate that all instances may send
+  double cold_slack = 0;            // additional requests per second beyond cold_overage
+  Duration max_rest = seconds(60);  // for which one answer of an upstream may turn an instance away
 };
 
 // Where a configuration was read.
@@ -124,15 +125,16 @@
   // named none.
   std::optional<UpstreamTerms::Allowance> AllowanceOf(const UpstreamState& upstream, TimePoint now);
 
-  // Takes up what an answer of an upstream says about the requests that it wants.
-  void OnUpstreamHead(const UpstreamState& upstream, const MessageHead& head, TimePoint now);
-
-  // An upstream has been started again: its cache is empty and it has named no limit.
-  void OnUpstreamRestarted(const UpstreamState& upstream);
+  // Takes up what an answer of an upstream says about the requests that it wants. `turned_away` is
+  // true if it has refused the request.
+  void OnUpstreamHead(const UpstreamState& upstream,
+                      const MessageHead& head,
+                      bool turned_away,
+                      TimePoint now);
 
   // Time after which a request may be sent again that all upstreams of the service have no room for
-  // by the limits that they have named.
-  Duration LimitRetryDelay(const std::string& service, TimePoint now);
+  // by what they have asked.
+  Duration TermsRetryDelay(const std::string& service, TimePoint now);
 
   // Sets the function that tells the other instances at once what has changed.
   void SetAnnounce(std::function<void()> announce) { announce_ = std::move(announce); }
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -194,8 +194,10 @@
   last_error_ = std::string(NameOf(kChoiceOutcomeNames, outcome));
   no_upstream_ = outcome == ChoiceOutcome::kNoUpstream;
   attempt_deadline_ = {};
-  if (outcome == ChoiceOutcome::kAllLimited && !may_have_run_ && !caller_->response_started()) {
-    Refuse(503, last_error_, relay_.LimitRetryDelay(service_name_, now));
+  const bool by_terms =
+      outcome == ChoiceOutcome::kAllLimited || outcome == ChoiceOutcome::kAllResting;
+  if (by_terms && !may_have_run_ && !caller_->response_started()) {
+    Refuse(503, last_error_, relay_.TermsRetryDelay(service_name_, now));
     return;
   }
   const EnqueueResult enqueue_result = no_upstream_ ? EnqueueResult::kNoSlotFreed : Enqueue(now);
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -53,11 +53,6 @@
     relay_.upstreams().OnBytesReceived(*upstream);
   }
   const HeaderNames& names = relay_.names();
-  const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
-  if (upstream != nullptr && response.head.status != 421 &&
-      response.head.Field(names.request_id) == id_) {
-    relay_.OnUpstreamHead(*upstream, response.head, BootTimeNow());
-  }
   const bool declined = !response.head.Field(names.not_run).empty();
   const bool wrong_upstream = response.head.status == 421;
   if ((declined || wrong_upstream) && connection_->used() &&
@@ -66,6 +61,11 @@
     FailAttempt(AttemptFailure::kBroken, "a refusal without the id of the request");
     return;
   }
+  const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
+  if (upstream != nullptr && !wrong_upstream &&
+      (declined || response.head.Field(names.request_id) == id_)) {
+    relay_.OnUpstreamHead(*upstream, response.head, response.head.status == 503, BootTimeNow());
+  }
   if (declined) {
     FailAttempt(AttemptFailure::kDeclined, std::to_string(response.head.status));
     return;
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -14,6 +14,9 @@
 // because requests sent in two adjacent windows can arrive within the same second.
 constexpr Duration kColdWindow = milliseconds(1150);
 
+// Longest time that TimeUntilAllowed returns.
+constexpr Duration kMaxTimeUntilAllowed = seconds(60);
+
 // Load added to upstreams in another data centre, because requests to them cause traffic between
 // data centres. It is less than one request, so that a difference in load takes precedence.
 constexpr double kRemoteDataCentreLoad = 0.5;
@@ -63,6 +66,10 @@
   return !allowance || RecentSends(upstream, allowance->window, now) < allowance->requests;
 }
 
+UpstreamTerms::Standing StandingOf(const UpstreamState& upstream, const ChoiceQuery& query) {
+  return query.standing ? query.standing(upstream) : UpstreamTerms::Standing{};
+}
+
 bool IsBelowSlotLimit(const UpstreamState& upstream, const ChoiceLimits& limits) {
   return TotalLoad(upstream) + 1 <= std::max(1.0, limits.slot_share * upstream.entry.slots);
 }
@@ -225,19 +232,29 @@
                       const ChoiceQuery& query,
                       const ChoiceLimits& limits,
                       TimePoint now) {
-  const std::vector<UpstreamState*> usable = upstreams.Usable(query.service, now);
+  std::vector<UpstreamState*> usable = upstreams.Usable(query.service, now);
+  usable.erase(std::remove_if(usable.begin(), usable.end(),
+                              [&](const UpstreamState* upstream) {
+                                return StandingOf(*upstream, query).leaving;
+                              }),
+               usable.end());
   Choice choice;
   choice.usable = usable.size();
   std::vector<UpstreamState*> candidates;
   double total = 0;
   bool over_cold_limit = false;
   bool all_limited = true;  // all upstreams that are left have named limits that leave no room
+  bool all_resting = true;  // all that are left have turned this instance away
   for (UpstreamState* upstream : usable) {
     total += TotalLoad(*upstream);
     if (query.tried != nullptr && query.tried->count(upstream->entry.id) > 0) {
       continue;
     }
     choice.outcome = ChoiceOutcome::kAllFull;
+    if (StandingOf(*upstream, query).resting) {
+      continue;
+    }
+    all_resting = false;
     if (!WithinNamedLimit(*upstream, query, now)) {
       continue;
     }
@@ -252,14 +269,16 @@
     if (over_cold_limit) {
       choice.outcome = ChoiceOutcome::kAllCold;
     } else if (choice.outcome == ChoiceOutcome::kAllFull && all_limited) {
-      choice.outcome = ChoiceOutcome::kAllLimited;
+      choice.outcome = all_resting ? ChoiceOutcome::kAllResting : ChoiceOutcome::kAllLimited;
     }
     return choice;
   }
-  // Unresponsive upstreams are excluded while any other can take the request.
+  // Unresponsive upstreams, and those that have turned other instances away, are excluded while any
+  // other can take the request.
   const auto unresponsive = std::stable_partition(
-      candidates.begin(), candidates.end(),
-      [now](const UpstreamState* candidate) { return !IsUnresponsive(*candidate, now); });
+      candidates.begin(), candidates.end(), [&](const UpstreamState* candidate) {
+        return !IsUnresponsive(*candidate, now) && !StandingOf(*candidate, query).others_rest;
+      });
   if (unresponsive != candidates.begin()) {
     candidates.erase(unresponsive, candidates.end());
   }
@@ -281,8 +300,9 @@
                  TimePoint now) {
   const auto usable = upstreams.Usable(query.service, now);
   return std::any_of(usable.begin(), usable.end(), [&](UpstreamState* upstream) {
-    return IsBelowSlotLimit(*upstream, limits) && WithinColdLimit(*upstream, query, now) &&
-           WithinNamedLimit(*upstream, query, now);
+    const UpstreamTerms::Standing standing = StandingOf(*upstream, query);
+    return !standing.leaving && !standing.resting && IsBelowSlotLimit(*upstream, limits) &&
+           WithinColdLimit(*upstream, query, now) && WithinNamedLimit(*upstream, query, now);
   });
 }
 
@@ -318,21 +338,26 @@
 }
 
 Duration TimeUntilAllowed(UpstreamSet& upstreams, const ChoiceQuery& query, TimePoint now) {
-  Duration shortest = kSendHistory;
+  Duration shortest = Duration::max();
   for (const UpstreamState* upstream : upstreams.Usable(query.service, now)) {
+    const UpstreamTerms::Standing standing = StandingOf(*upstream, query);
     const auto allowance = query.allowance ? query.allowance(*upstream) : std::nullopt;
-    if (!allowance || allowance->requests == 0) {
+    if (standing.leaving || (allowance && allowance->requests == 0)) {
       continue;
     }
-    const std::size_t sent = RecentSends(*upstream, allowance->window, now);
-    if (sent < allowance->requests) {
-      return Duration::zero();
+    Duration wait{};
+    if (standing.resting) {
+      wait = standing.resting_until - now;
+    }
+    const std::size_t sent = allowance ? RecentSends(*upstream, allowance->window, now) : 0;
+    if (allowance && sent >= allowance->requests) {
+      const auto leaves = FirstRecentSend(*upstream, allowance->window, now) +
+                          static_cast<std::ptrdiff_t>(sent - allowance->requests);
+      wait = std::max<Duration>(wait, *leaves + allowance->window - now);
     }
-    const auto leaves = FirstRecentSend(*upstream, allowance->window, now) +
-                        static_cast<std::ptrdiff_t>(sent - allowance->requests);
-    shortest = std::min<Duration>(shortest, *leaves + allowance->window - now);
+    shortest = std::min(shortest, wait);
   }
-  return shortest;
+  return std::min<Duration>(shortest, kMaxTimeUntilAllowed);
 }
 
 }  // namespace chiverail
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -34,6 +34,8 @@
   std::function<double(const UpstreamState&)> cold_limit;
   // Requests that this instance may send to an upstream that has named a limit; empty for none.
   std::function<std::optional<UpstreamTerms::Allowance>(const UpstreamState&)> allowance;
+  // What upstreams have asked of this instance; empty for nothing.
+  std::function<UpstreamTerms::Standing(const UpstreamState&)> standing;
 };
 
 struct ChoiceLimits {
@@ -52,13 +54,21 @@
 };
 
 // Result of the choice; all values but kChosen say why there is no upstream.
-enum class ChoiceOutcome : std::uint8_t { kChosen, kNoUpstream, kAllFull, kAllCold, kAllLimited };
-inline constexpr std::array<EnumName<ChoiceOutcome>, 5> kChoiceOutcomeNames{{
+enum class ChoiceOutcome : std::uint8_t {
+  kChosen,
+  kNoUpstream,
+  kAllFull,
+  kAllCold,
+  kAllLimited,
+  kAllResting
+};
+inline constexpr std::array<EnumName<ChoiceOutcome>, 6> kChoiceOutcomeNames{{
     {ChoiceOutcome::kChosen, "chosen"},
     {ChoiceOutcome::kNoUpstream, "no_upstream"},
     {ChoiceOutcome::kAllFull, "all_full"},
     {ChoiceOutcome::kAllCold, "all_cold"},
     {ChoiceOutcome::kAllLimited, "all_limited"},  // by the limits that they have named
+    {ChoiceOutcome::kAllResting, "all_resting"},  // all have turned this instance away for a while
 }};
 
 // Criterion by which an upstream was chosen among those that could take the request.
@@ -114,7 +124,7 @@
 void RecordSend(UpstreamState& upstream, TimePoint now);
 
 // Returns the time until this instance may send an upstream of the service another request, of
-// those that have named a limit; kSendHistory at most.
+// those that have named a limit or have turned it away.
 Duration TimeUntilAllowed(UpstreamSet& upstreams, const ChoiceQuery& query, TimePoint now);
 
 // Longest window in which requests to an upstream are counted.
--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -25,6 +25,11 @@
   return XXH32(id.data(), id.size(), 0);
 }
 
+std::uint32_t RunTag(const UpstreamEntry& entry) {
+  return XXH32(entry.id.data(), entry.id.size(),
+               1 + static_cast<std::uint32_t>(entry.started_ms ^ (entry.started_ms >> 32)));
+}
+
 double FailureRate(const UpstreamState& upstream, TimePoint now) {
   const double half_lives = std::chrono::duration<double>(now - upstream.failure_rate_at) /
                             std::chrono::duration<double>(kFailureHalfLife);
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -129,6 +129,9 @@
 // Returns the short id of an upstream in messages between instances.
 std::uint32_t UpstreamTag(const UpstreamId& id);
 
+// Returns the short id of a run of an upstream, likewise.
+std::uint32_t RunTag(const UpstreamEntry& entry);
+
 // Returns true if a request to the upstream has been unanswered for kUnresponsiveAfter without any
 // bytes received: the upstream may be down, which its list entry shows only seconds later. Returns
 // false again after kUnresponsiveRetryAfter, so that one further request is sent to it.
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -384,7 +384,47 @@
   CHECK(refused.status == 503);
   CHECK(std::stod(std::string(refused.head.Field("Retry-After"))) >= 2);
   CHECK(upstream.requests().size() == 2);
-  CHECK(fixture.Lines("upstream").at(0)["per_s"] == 0.5);
+  CHECK(fixture.Lines("upstream").at(0)["limit_per_s"] == 0.5);
+}
+
+// Guards against requests that upstreams have asked not to get.
+TEST_CASE("What an upstream asks is kept for the next requests") {
+  RelayFixture fixture;
+  fixture.Configure();
+  const auto answer_with = [&](int status, const HttpHeader& field) {
+    return [status, field](const Caller& caller, const CallerRequest& request) {
+      auto fields = FakeUpstream::SealFields(request);
+      fields.push_back(field);
+      if (status == 503) {
+        fields.emplace_back("Not-Run", "1");
+      }
+      caller->Respond(status, {}, fields,
+                      request.head.target == "/chat/x" ? "data: result\n\n" : "result");
+    };
+  };
+  const std::string path = GENERATE(as<std::string>{}, "/read/x", "/book/x", "/chat/x");
+  SECTION("if it leaves") {
+    FakeUpstream& upstream = fixture.AddUpstream("up-1", answer_with(200, {"Leaving", "1"}));
+    CHECK(fixture.SendAndWait(RelayFixture::Request(path)).status == 200);
+    CHECK(fixture.SendAndWait(RelayFixture::Request(path)).status == 503);
+    CHECK(upstream.requests().size() == 1);
+    FakeUpstream& other = fixture.AddUpstream("up-2", FakeUpstream::Succeed);
+    CHECK(fixture.SendAndWait(RelayFixture::Request(path)).status == 200);
+    CHECK(other.requests().size() == 1);
+  }
+  SECTION("if it turns this instance away") {
+    FakeUpstream& upstream = fixture.AddUpstream("up-1", answer_with(503, {"Retry-After", "2"}));
+    CHECK(fixture.SendAndWait(RelayFixture::Request(path)).status == 503);
+    const TimePoint sent = BootTimeNow();
+    const CallerResponse refused = fixture.SendAndWait(RelayFixture::Request(path));
+    CHECK(BootTimeNow() - sent < milliseconds(100));
+    CHECK(refused.status == 503);
+    CHECK(std::stod(std::string(refused.head.Field("Retry-After"))) > 1.5);
+    CHECK(upstream.requests().size() == 1);
+    FakeUpstream& other = fixture.AddUpstream("up-2", FakeUpstream::Succeed);
+    CHECK(fixture.SendAndWait(RelayFixture::Request(path)).status == 200);
+    CHECK(other.requests().size() == 1);
+  }
 }
 
 }  // namespace chiverail
--- a/tests/upstream_terms_test.cc
+++ b/tests/upstream_terms_test.cc
@@ -1,6 +1,7 @@
 #include "upstream_terms.h"
 
 #include <algorithm>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -22,7 +23,19 @@
 }
 
 StatedTerms Parse(std::vector<std::string_view> values) {
-  return ParseRequestLimit(values);
+  return ReadTerms({std::move(values), {}, {}}, seconds(60));
+}
+
+StatedTerms Limit(double limit) {
+  StatedTerms stated;
+  stated.request_limit = limit;
+  return stated;
+}
+
+StatedTerms Malformed() {
+  StatedTerms stated;
+  stated.malformed = true;
+  return stated;
 }
 
 // The most requests that reach an upstream in any 4 s, and the requests in all, if every instance
@@ -85,10 +98,10 @@
   const Duration pause = milliseconds(count > 100 ? 25 : 5);
   std::vector<UpstreamTerms> terms(count);
   for (UpstreamTerms& each : terms) {
-    each.OnAnswer(kTag, {limit, false}, kStart + seconds(1));
+    each.OnAnswer(kTag, Limit(limit), 0, kStart + seconds(1));
   }
-  const Reached reached = SendAll(
-      count, length, pause, [&](std::size_t i, UpstreamState& view, TimePoint now) {
+  const Reached reached =
+      SendAll(count, length, pause, [&](std::size_t i, UpstreamState& view, TimePoint now) {
         ChoiceQuery query;
         query.allowance = [&](const UpstreamState&) {
           return terms[i].AllowanceOf(kTag, instances, instances[i], now);
@@ -111,7 +124,8 @@
     std::vector<double> tokens(count, 1);
     const Reached naive =
         SendAll(count, length, pause, [&](std::size_t i, UpstreamState&, TimePoint) {
-          tokens[i] = std::min(1.0, tokens[i] + share * std::chrono::duration<double>(pause).count());
+          tokens[i] =
+              std::min(1.0, tokens[i] + share * std::chrono::duration<double>(pause).count());
           return tokens[i] >= 1 && (tokens[i] -= 1, true);
         });
     if (count >= 114 && limit < 4) {
@@ -133,13 +147,13 @@
   query.service = "engines";
   TimePoint now = kStart;
   query.allowance = [&](const UpstreamState& state) {
-    return terms.AllowanceOf(state.tag, {"front-0"}, "front-0", now);
+    return terms.AllowanceOf(RunTag(state.entry), {"front-0"}, "front-0", now);
   };
   for (int i = 0; i < 20; ++i) {
     RecordSend(upstream, now);
   }
   CHECK(ChooseUpstream(upstreams, query, {}, now).outcome == ChoiceOutcome::kChosen);
-  terms.OnAnswer(upstream.tag, {4, false}, now);
+  terms.OnAnswer(RunTag(entry), Limit(4), 0, now);
   CHECK(ChooseUpstream(upstreams, query, {}, now).outcome == ChoiceOutcome::kAllLimited);
   CHECK_FALSE(HasFreeSlot(upstreams, query, {}, now));
   CHECK(TimeUntilAllowed(upstreams, query, now) > seconds(4));
@@ -162,23 +176,27 @@
 
 TEST_CASE("A limit ends") {
   UpstreamTerms terms;
-  REQUIRE(terms.OnAnswer(kTag, {4, false}, kStart));
+  REQUIRE(terms.OnAnswer(kTag, Limit(4), 0, kStart));
   CHECK(terms.LimitOf(kTag, kStart) == 4);
 
   SECTION("with an answer that names none") {
-    CHECK(terms.OnAnswer(kTag, {}, kStart + seconds(1)));
+    CHECK(terms.OnAnswer(kTag, {}, 0, kStart + seconds(1)));
     CHECK_FALSE(terms.LimitOf(kTag, kStart + seconds(1)));
   }
   SECTION("but not with one that can't be read") {
-    CHECK_FALSE(terms.OnAnswer(kTag, {0, true}, kStart + seconds(1)));
+    CHECK_FALSE(terms.OnAnswer(kTag, Malformed(), 0, kStart + seconds(1)));
     CHECK(terms.LimitOf(kTag, kStart + seconds(1)) == 4);
   }
   SECTION("when the upstream is started again") {
-    terms.Forget(kTag);
-    CHECK_FALSE(terms.LimitOf(kTag, kStart));
+    UpstreamEntry entry;
+    entry.id = "engine-0";
+    entry.started_ms = 1;
+    terms.OnAnswer(RunTag(entry), Limit(4), 0, kStart);
+    entry.started_ms = 2;
+    CHECK_FALSE(terms.LimitOf(RunTag(entry), kStart));
   }
   SECTION("when no answer has confirmed it for long, since nobody may have been able to ask") {
-    terms.OnAnswer(kTag, {4, false}, kStart + seconds(20));
+    terms.OnAnswer(kTag, Limit(4), 0, kStart + seconds(20));
     CHECK(terms.LimitOf(kTag, kStart + seconds(49)) == 4);
     CHECK_FALSE(terms.LimitOf(kTag, kStart + seconds(51)));
     terms.Expire(kStart + seconds(51));
@@ -187,9 +205,9 @@
   SECTION("for those that hear of a newer answer, whatever the order of the messages") {
     UpstreamTerms other;
     const auto before = terms.News(kStart + milliseconds(100));
-    terms.OnAnswer(kTag, {}, kStart + milliseconds(200));
+    terms.OnAnswer(kTag, {}, 0, kStart + milliseconds(200));
     other.Merge(terms.News(kStart + milliseconds(300)), kStart + milliseconds(300));
-    other.Merge({{kTag, 4000, milliseconds(350)}}, kStart + milliseconds(350));
+    other.Merge({{kTag, true, 4000, milliseconds(350), false, {}}}, kStart + milliseconds(350));
     CHECK(before.size() == 1);
     CHECK_FALSE(other.LimitOf(kTag, kStart + milliseconds(400)));
   }
@@ -200,7 +218,7 @@
   ExchangeFleet fleet(instances, 3, 1);
   fleet.StartAll();
   fleet.Run(seconds(4));
-  fleet.nodes[5].terms->OnAnswer(kTag, {4, false}, fleet.now());
+  fleet.nodes[5].terms->OnAnswer(kTag, Limit(4), 0, fleet.now());
   fleet.Announce(5);
   const auto knowing = [&] {
     return std::count_if(fleet.nodes.begin(), fleet.nodes.end(),
@@ -220,11 +238,196 @@
     CHECK(knowing() == instances);
   }
   SECTION("and its end as well") {
-    fleet.nodes[3].terms->OnAnswer(kTag, {}, fleet.now());
+    fleet.nodes[3].terms->OnAnswer(kTag, {}, 0, fleet.now());
     fleet.Announce(3);
     fleet.Run(milliseconds(600));
     CHECK(knowing() == 0);
   }
 }
 
+TEST_CASE("A rest is a decimal number of seconds, with a bound") {
+  const auto rest = [](std::vector<std::string_view> values) {
+    return ReadTerms({{}, {}, std::move(values)}, seconds(60));
+  };
+  CHECK(rest({"3"}).rest == seconds(3));
+  CHECK(rest({"0.25"}).rest == milliseconds(250));
+  CHECK(rest({"0"}).rest == Duration::zero());
+  CHECK_FALSE(rest({"0"}).malformed);
+  CHECK(rest({"9999999999"}).rest == seconds(60));
+  for (const std::string_view text : {"-1", "soon", "", "Sat, 05 Dec 2026 03:00:00 GMT"}) {
+    INFO(text);
+    CHECK(rest({text}).rest == Duration::zero());
+    CHECK(rest({text}).malformed);
+  }
+  CHECK(rest({"3", "4"}).malformed);
+  CHECK(ReadTerms({{}, {"1"}, {}}, seconds(60)).leaving);
+  CHECK_FALSE(ReadTerms({{}, {"0"}, {}}, seconds(60)).leaving);
+}
+
+namespace {
+
+// Two upstreams of a service, and what they have asked.
+struct TwoUpstreams {
+  TwoUpstreams() {
+    for (const char* id : {"engine-0", "engine-1"}) {
+      UpstreamEntry entry;
+      entry.id = id;
+      entry.service = "engines";
+      entry.slots = 64;
+      entry.started_ms = 1;
+      upstreams.Apply(entry, kStart);
+    }
+    query.service = "engines";
+    query.standing = [this](const UpstreamState& upstream) {
+      return terms.StandingOf(RunTag(upstream.entry), now);
+    };
+  }
+
+  std::uint32_t Run(const UpstreamId& id) { return RunTag(upstreams.Find(id)->entry); }
+
+  // The upstreams that are chosen for requests of all kinds, or why there is none.
+  std::set<std::string> Chosen() {
+    std::set<std::string> chosen;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+      query.random = i;
+      query.affinity = i % 3;
+      query.holders = {UpstreamTag(i % 2 == 0 ? "engine-0" : "engine-1")};
+      const Choice choice = ChooseUpstream(upstreams, query, {}, now);
+      chosen.insert(choice.upstream != nullptr
+                        ? choice.upstream->entry.id
+                        : std::string(NameOf(kChoiceOutcomeNames, choice.outcome)));
+    }
+    return chosen;
+  }
+
+  using Names = std::set<std::string>;
+
+  UpstreamSet upstreams;
+  UpstreamTerms terms;
+  ChoiceQuery query;
+  TimePoint now = kStart;
+};
+
+StatedTerms Leaving() {
+  StatedTerms stated;
+  stated.leaving = true;
+  return stated;
+}
+
+StatedTerms Rest(Duration rest) {
+  StatedTerms stated;
+  stated.rest = rest;
+  return stated;
+}
+
+}  // namespace
+
+// Guards against requests that reach an upstream after it has said that it is about to end, which
+// the platform's list may show late or not at all while the store is silent.
+TEST_CASE("An upstream that says that it leaves gets no new requests") {
+  TwoUpstreams two;
+  REQUIRE(two.Chosen() == TwoUpstreams::Names{"engine-0", "engine-1"});
+  CHECK(two.terms.OnAnswer(two.Run("engine-0"), Leaving(), 0, two.now));
+  CHECK(two.Chosen() == TwoUpstreams::Names{"engine-1"});
+  two.now += seconds(60);
+  CHECK(two.Chosen() == TwoUpstreams::Names{"engine-1"});
+
+  SECTION("whatever its other answers say, since they may be older") {
+    two.terms.OnAnswer(two.Run("engine-0"), {}, 0, two.now);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"engine-1"});
+  }
+  SECTION("until it has been started again") {
+    UpstreamEntry entry = two.upstreams.Find("engine-0")->entry;
+    entry.started_ms = 2;
+    two.upstreams.Apply(entry, two.now);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"engine-0", "engine-1"});
+  }
+  SECTION("and none is held to be leaving if it is listed long after") {
+    two.now += seconds(300);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"engine-0", "engine-1"});
+  }
+  SECTION("and if all leave, there is none") {
+    two.terms.OnAnswer(two.Run("engine-1"), Leaving(), 0, two.now);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"no_upstream"});
+    CHECK_FALSE(HasFreeSlot(two.upstreams, two.query, {}, two.now));
+  }
+  SECTION("with a limit at the same time") {
+    two.terms.OnAnswer(two.Run("engine-1"), Limit(4), 0, two.now);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"engine-1"});
+    CHECK(two.terms.LimitOf(two.Run("engine-1"), two.now) == 4);
+  }
+}
+
+// Guards against requests to an upstream that has asked for a rest, and against a burst at its end.
+TEST_CASE("An upstream that turns an instance away gets nothing from it for so long") {
+  TwoUpstreams two;
+  two.terms.OnAnswer(two.Run("engine-0"), Rest(seconds(3)), 0, two.now);
+  CHECK(two.Chosen() == TwoUpstreams::Names{"engine-1"});
+  two.now += milliseconds(2999);
+  CHECK(two.Chosen() == TwoUpstreams::Names{"engine-1"});
+
+  SECTION("and requests again after it") {
+    two.now += milliseconds(2);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"engine-0", "engine-1"});
+  }
+  SECTION("and is not asked early if all have turned it away") {
+    two.terms.OnAnswer(two.Run("engine-1"), Rest(seconds(2)), 0, two.now);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"all_resting"});
+    CHECK_FALSE(HasFreeSlot(two.upstreams, two.query, {}, two.now));
+    CHECK(TimeUntilAllowed(two.upstreams, two.query, two.now) == milliseconds(1));
+  }
+  SECTION("and others ask another one first, but this one if there is no other") {
+    UpstreamTerms first = std::exchange(two.terms, {});
+    two.terms.Merge(first.News(two.now - seconds(1)), two.now - seconds(1));
+    CHECK(two.Chosen() == TwoUpstreams::Names{"engine-1"});
+    two.upstreams.Remove("engine-1", two.now);
+    CHECK(two.Chosen() == TwoUpstreams::Names{"engine-0"});
+  }
+}
+
+TEST_CASE("Instances that were turned away at once come back one after the other") {
+  std::vector<Duration> returns;
+  for (int i = 0; i < 18; ++i) {
+    UpstreamTerms terms;
+    terms.OnAnswer(kTag, Rest(seconds(5)), i / 18.0, kStart);
+    returns.push_back(terms.StandingOf(kTag, kStart).resting_until - kStart);
+  }
+  CHECK(*std::min_element(returns.begin(), returns.end()) >= seconds(5));
+  CHECK(returns.back() - returns.front() > milliseconds(400));
+  CHECK(std::set<Duration>(returns.begin(), returns.end()).size() == 18);
+}
+
+TEST_CASE("That an upstream leaves is known to all soon") {
+  const int instances = GENERATE(1, 13, 114);
+  ExchangeFleet fleet(instances, std::min(instances, 3), 1);
+  fleet.StartAll();
+  fleet.Run(seconds(4));
+  const auto told = static_cast<std::size_t>(instances / 2);
+  fleet.nodes[told].terms->OnAnswer(kTag, Leaving(), 0, fleet.now());
+  fleet.Announce(told);
+  const auto knowing = [&] {
+    return std::count_if(
+        fleet.nodes.begin(), fleet.nodes.end(), [&](const ExchangeFleet::Node& node) {
+          return node.exchange && node.terms->StandingOf(kTag, fleet.now()).leaving;
+        });
+  };
+  fleet.Run(instances <= 24 ? milliseconds(20) : milliseconds(500));
+  CHECK(knowing() == instances);
+
+  SECTION("though a hub is lost meanwhile") {
+    if (instances == 114) {
+      const std::size_t hub = fleet.HubOf("dc0");
+      fleet.Kill(hub);
+      fleet.nodes[told].terms->OnAnswer(kTag + 1, Leaving(), 0, fleet.now());
+      fleet.Announce(told);
+      fleet.Run(seconds(3));
+      const auto knowing_next = std::count_if(
+          fleet.nodes.begin(), fleet.nodes.end(), [&](const ExchangeFleet::Node& node) {
+            return node.exchange && node.terms->StandingOf(kTag + 1, fleet.now()).leaving;
+          });
+      CHECK(knowing_next == instances - 1 - (hub == told ? 1 : 0));
+    }
+  }
+}
+
 }  // namespace chiverail
