Keep the limits of engines for requests whose segments only they have cached

Cause: any request used up an engine's limit, also one whose segments engines without limits had cached; and the mean load counted engines with limits, which have few requests, so that the others looked too full to be used for their cached segments.

Change: engines without limits come first, and the mean is theirs.

The new test fails without the change.

--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -60,6 +60,10 @@
   return static_cast<double>(RecentSends(upstream, kColdWindow, now)) + 1 <= limit;
 }
 
+bool IsLimited(const UpstreamState& upstream, const ChoiceQuery& query) {
+  return query.allowance && query.allowance(upstream).has_value();
+}
+
 // Whether the limit that the upstream has named leaves room for a request of this instance.
 bool WithinNamedLimit(const UpstreamState& upstream, const ChoiceQuery& query, TimePoint now) {
   const auto allowance = query.allowance ? query.allowance(upstream) : std::nullopt;
@@ -196,25 +200,39 @@
   return best;
 }
 
+// The upstreams that can take a request. Those that have named a limit are kept for requests whose
+// prompt segments no other one has cached, since their limit leaves room for few.
+struct Candidates {
+  std::vector<UpstreamState*> unlimited;
+  std::vector<UpstreamState*> limited;
+};
+
 // Chooses the upstream of a request with shared prompt segments; leaves `choice.upstream` null if
 // all engines are over the limits.
-void PlaceBySegments(const std::vector<UpstreamState*>& candidates,
+void PlaceBySegments(const Candidates& candidates,
                      const ChoiceQuery& query,
                      const ChoiceLimits& limits,
                      double mean,
                      TimePoint now,
                      Choice& choice) {
-  choice.cause = PlacementCause::kHolder;
-  choice.upstream =
-      ChooseHolder(candidates, query, limits.load_multiple * mean + limits.load_floor, now);
-  if (choice.upstream != nullptr) {
-    return;
-  }
+  const double cached_limit = limits.load_multiple * mean + limits.load_floor;
   const double uncached_limit = limits.uncached_multiple * mean + limits.uncached_floor;
   const bool spread = mean >= limits.spread_mean && !query.holders.empty();
+  choice.cause = PlacementCause::kHolder;
+  for (const auto* group : {&candidates.unlimited, &candidates.limited}) {
+    choice.upstream = ChooseHolder(*group, query, cached_limit, now);
+    if (choice.upstream != nullptr) {
+      return;
+    }
+  }
   choice.cause = spread ? PlacementCause::kOverflow : PlacementCause::kAffinity;
-  choice.upstream = spread ? ChooseOverflow(candidates, query, uncached_limit, now)
-                           : ChooseByRank(candidates, query, uncached_limit, now);
+  for (const auto* group : {&candidates.unlimited, &candidates.limited}) {
+    choice.upstream = spread ? ChooseOverflow(*group, query, uncached_limit, now)
+                             : ChooseByRank(*group, query, uncached_limit, now);
+    if (choice.upstream != nullptr) {
+      return;
+    }
+  }
 }
 
 }  // namespace
@@ -241,12 +259,20 @@
   Choice choice;
   choice.usable = usable.size();
   std::vector<UpstreamState*> candidates;
+  // Loads of the upstreams that take any number of requests, or of all if all have named limits:
+  // those with limits have few requests, and would make the others look too full.
   double total = 0;
+  double unlimited_total = 0;
+  std::size_t unlimited_count = 0;
   bool over_cold_limit = false;
   bool all_limited = true;  // all upstreams that are left have named limits that leave no room
   bool all_resting = true;  // all that are left have turned this instance away
   for (UpstreamState* upstream : usable) {
     total += TotalLoad(*upstream);
+    if (!IsLimited(*upstream, query)) {
+      unlimited_total += TotalLoad(*upstream);
+      ++unlimited_count;
+    }
     if (query.tried != nullptr && query.tried->count(upstream->entry.id) > 0) {
       continue;
     }
@@ -282,13 +308,19 @@
   if (unresponsive != candidates.begin()) {
     candidates.erase(unresponsive, candidates.end());
   }
+  Candidates groups;
+  for (UpstreamState* candidate : candidates) {
+    (IsLimited(*candidate, query) ? groups.limited : groups.unlimited).push_back(candidate);
+  }
+  const double mean = unlimited_count > 0 ? unlimited_total / static_cast<double>(unlimited_count)
+                                          : total / static_cast<double>(usable.size());
   if (query.affinity != 0) {
-    PlaceBySegments(candidates, query, limits, total / static_cast<double>(usable.size()), now,
-                    choice);
+    PlaceBySegments(groups, query, limits, mean, now, choice);
   }
   if (choice.upstream == nullptr) {
     choice.cause = PlacementCause::kLoad;
-    choice.upstream = LessLoadedOfTwo(candidates, query, now);
+    choice.upstream =
+        LessLoadedOfTwo(groups.unlimited.empty() ? groups.limited : groups.unlimited, query, now);
   }
   choice.outcome = ChoiceOutcome::kChosen;
   return choice;
--- a/tests/upstream_terms_test.cc
+++ b/tests/upstream_terms_test.cc
@@ -174,6 +174,49 @@
   }
 }
 
+// Guards against prompts that are read again though their engines have room (day capped): small
+// requests used up the limits of the engines that had cached the segments of others, and engines
+// without limits looked too full beside them.
+TEST_CASE("The limits of engines are kept for requests whose segments only they have cached") {
+  UpstreamSet upstreams;
+  for (int i = 0; i < 6; ++i) {
+    UpstreamEntry entry;
+    entry.id = "engine-" + std::to_string(i);
+    entry.service = "engines";
+    entry.slots = 64;
+    upstreams.Apply(entry, kStart);
+    // Engines 0 to 3 have named limits.
+    upstreams.Find(entry.id)->peer_load = i < 4 ? 1 : 12;
+  }
+  ChoiceQuery query;
+  query.service = "engines";
+  query.affinity = 5;
+  query.allowance = [&](const UpstreamState& upstream) {
+    const bool limited = upstream.entry.id < "engine-4";
+    return limited ? std::optional<UpstreamTerms::Allowance>({seconds(4), 2}) : std::nullopt;
+  };
+  const auto chosen = [&](const std::vector<std::string>& holders) {
+    query.holders.clear();
+    for (const std::string& holder : holders) {
+      query.holders.push_back(UpstreamTag(holder));
+    }
+    std::set<std::string> all;
+    for (std::uint64_t i = 0; i < 30; ++i) {
+      query.random = i;
+      all.insert(ChooseUpstream(upstreams, query, {}, kStart).upstream->entry.id);
+    }
+    return all;
+  };
+  using Ids = std::set<std::string>;
+  CHECK(chosen({"engine-1"}) == Ids{"engine-1"});
+  CHECK(chosen({"engine-1", "engine-5"}) == Ids{"engine-5"});
+  const Ids uncached = chosen({});
+  CHECK(uncached.size() == 1);
+  CHECK(*uncached.begin() >= "engine-4");
+  query.affinity = 0;
+  CHECK(chosen({}) == Ids{"engine-4", "engine-5"});
+}
+
 TEST_CASE("A limit ends") {
   UpstreamTerms terms;
   REQUIRE(terms.OnAnswer(kTag, Limit(4), 0, kStart));
