Bound what upstreams ask in messages between instances

An upstream that names a limit over 1,000 requests a second, or a rest of over ten minutes, would have made every message that carries it malformed for its receivers: the exchange of the whole fleet would have ended. A source of rows that is no address would have thrown in the handler of the datagram's receiver.

Change: limits use the whole range of their field, rests are told as 60 s at most, and sources are checked like other addresses. The new cases of fleet_messages_test fail without the change.

--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -245,8 +245,12 @@
 std::vector<TableNotice> NoticesFrom(const json& list) {
   std::vector<TableNotice> notices;
   for (std::size_t i = 0; i < Records(list, 4).size(); i += 4) {
-    notices.push_back({list[i].get<std::string>(), list[i + 1].get<std::uint64_t>(),
-                       AgeFrom(list[i + 2]), list[i + 3].get<std::string>()});
+    TableNotice notice{list[i].get<std::string>(), list[i + 1].get<std::uint64_t>(),
+                       AgeFrom(list[i + 2]), list[i + 3].get<std::string>()};
+    if (!notice.source.empty() && !IsSocketAddress(notice.source)) {
+      throw MalformedMessage("source of rows is no address");
+    }
+    notices.push_back(std::move(notice));
   }
   return notices;
 }
@@ -270,7 +274,7 @@
     throw MalformedMessage("terms of too many upstreams");
   }
   for (std::size_t i = 0; i < list.size(); i += 6) {
-    terms.push_back({TagFrom(list[i]), list[i + 1].get<bool>(), CountFrom(list[i + 2]),
+    terms.push_back({TagFrom(list[i]), list[i + 1].get<bool>(), TagFrom(list[i + 2]),
                      AgeFrom(list[i + 3]), list[i + 4].get<bool>(), AgeFrom(list[i + 5])});
   }
   return terms;
--- a/src/upstream_terms.cc
+++ b/src/upstream_terms.cc
@@ -125,7 +125,7 @@
       entry.limit_age = now - terms.limit_at;
     }
     entry.leaving = terms.leaving_at != TimePoint{} && now < terms.leaving_at + kLeavingLifetime;
-    entry.rest = std::max<Duration>(Duration::zero(), terms.rests_until - now);
+    entry.rest = std::clamp<Duration>(terms.rests_until - now, Duration::zero(), kMaxRestNews);
     if (entry.has_limit || entry.leaving || entry.rest > Duration::zero()) {
       news.push_back(entry);
     }
--- a/src/upstream_terms.h
+++ b/src/upstream_terms.h
@@ -127,6 +127,9 @@
   // An ended limit is told to others for this long.
   static constexpr Duration kEndNews = seconds(5);
 
+  // Longer rests are told to others as this one, and again later.
+  static constexpr Duration kMaxRestNews = seconds(60);
+
   // After a rest, the instances come back within this share of it, and within kMinReturn at least.
   static constexpr double kReturnShare = 0.1;
   static constexpr Duration kMinReturn = milliseconds(400);
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -122,6 +122,25 @@
   }
 }
 
+// Guards against an upstream that silences the exchange of the whole fleet: what it asks, however
+// large, must not make the messages that carry it malformed.
+TEST_CASE("Whatever an upstream asks can be told to others") {
+  const TimePoint now{seconds(1000)};
+  const std::string number = GENERATE(as<std::string>{}, "0.001", "2000", "4000000", "9999999999");
+  UpstreamTerms terms;
+  const StatedTerms stated = ReadTerms({{number}, {"1"}, {number}}, std::chrono::hours(1));
+  terms.OnAnswer(17, stated, 1, now);
+  InstanceReport report = Report();
+  report.terms = terms.News(now);
+  const auto decoded = Decoded<InstanceReport>(EncodeFleetMessage(report));
+  REQUIRE(decoded.terms.size() == 1);
+  UpstreamTerms other;
+  other.Merge(decoded.terms, now);
+  CHECK(other.LimitOf(17, now) == terms.LimitOf(17, now));
+  CHECK(other.StandingOf(17, now).leaving);
+  CHECK(other.StandingOf(17, now).others_rest == (stated.rest > Duration::zero()));
+}
+
 // Guards against damaged or forged datagrams on an open port that take the process down or change
 // what it believes.
 TEST_CASE("Bytes that are no message are dropped with a reason") {
@@ -156,6 +175,12 @@
     summary.age = -seconds(5);
     CHECK(ReasonFor(EncodeFleetMessage(summary)) == DropReason::kMalformed);
   }
+  SECTION("rows from a source that is no address") {
+    HubForward forward;
+    forward.hub = Info();
+    forward.notices = {{"op", 7, milliseconds(1), "not an address"}};
+    CHECK(ReasonFor(EncodeFleetMessage(forward)) == DropReason::kMalformed);
+  }
   SECTION("nesting without end") {
     CHECK(ReasonFor(std::string(16 * 1024, '\x91')) == DropReason::kMalformed);
     CHECK(ReasonFor(std::string(16 * 1024, '\x81')) == DropReason::kMalformed);
