--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -1,12 +1,13 @@
 #include "fleet_messages.h"
 
 #include <algorithm>
-#include <stdexcept>
 
 #include <xxhash.h>
 #include <nlohmann/json.hpp>
 
 #include "json_fields.h"
+#include "message_json.h"
+#include "quarantine_codec.h"
 
 namespace chiverail {
 namespace {
@@ -26,11 +27,6 @@
 constexpr unsigned kLeavingFlag = 2;
 constexpr unsigned kStoreReachableFlag = 4;
 
-// Counts above these are not produced by any instance, so the message is malformed.
-constexpr std::uint32_t kMaxRequests = 1'000'000;
-constexpr Duration kMaxAge = seconds(600);
-constexpr Duration kMaxHoldAge = std::chrono::hours(1);
-
 // Names of instances and data centres are identifiers of the settings.
 constexpr std::size_t kMaxNameBytes = 200;
 
@@ -56,46 +52,6 @@
   std::size_t depth_ = 0;
 };
 
-struct MalformedMessage : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-std::int64_t WholeMilliseconds(Duration duration) {
-  return std::chrono::ceil<milliseconds>(duration).count();
-}
-
-Duration AgeFrom(const json& value, Duration max = kMaxAge) {
-  const auto age = milliseconds(value.get<std::int64_t>());
-  if (age < Duration::zero() || age > max) {
-    throw MalformedMessage("age out of range");
-  }
-  return age;
-}
-
-std::uint32_t CountFrom(const json& value) {
-  const auto count = value.get<std::uint64_t>();
-  if (count > kMaxRequests) {
-    throw MalformedMessage("count out of range");
-  }
-  return static_cast<std::uint32_t>(count);
-}
-
-std::uint32_t TagFrom(const json& value) {
-  const auto tag = value.get<std::uint64_t>();
-  if (tag > UINT32_MAX) {
-    throw MalformedMessage("tag out of range");
-  }
-  return static_cast<std::uint32_t>(tag);
-}
-
-// Checks that a flat list holds whole records of `width` elements.
-const json& Records(const json& list, std::size_t width) {
-  if (!list.is_array() || list.size() % width != 0) {
-    throw MalformedMessage("incomplete record");
-  }
-  return list;
-}
-
 // Names end up in logs and JSON documents.
 bool IsName(const std::string& text) {
   return !text.empty() && text.size() <= kMaxNameBytes &&
@@ -280,56 +236,6 @@
   return terms;
 }
 
-json Encode(const QuarantineNews& news) {
-  json crashes = json::array();
-  for (const CrashReport& crash : news.crashes) {
-    crashes.push_back({crash.reporter, crash.sequence, crash.upstream, WholeMilliseconds(crash.age),
-                       crash.segments});
-  }
-  json begun = json::array();
-  for (const SegmentBegun& segment : news.begun) {
-    begun.push_back(segment.segment);
-    begun.push_back(WholeMilliseconds(segment.age));
-  }
-  json holds = json::array();
-  for (const SegmentHold& hold : news.holds) {
-    holds.push_back(hold.segment);
-    holds.push_back(WholeMilliseconds(hold.age));
-    holds.push_back(hold.strikes);
-  }
-  return json::array({std::move(crashes), std::move(begun), std::move(holds)});
-}
-
-CrashReport CrashFrom(const json& list) {
-  CrashReport crash;
-  crash.reporter = TagFrom(list.at(0));
-  crash.sequence = list.at(1).get<std::uint64_t>();
-  crash.upstream = TagFrom(list.at(2));
-  crash.age = AgeFrom(list.at(3));
-  crash.segments = list.at(4).get<std::vector<SegmentHash>>();
-  if (crash.segments.size() > PromptQuarantine::kMaxSegmentsPerReport) {
-    throw MalformedMessage("too many segments");
-  }
-  return crash;
-}
-
-QuarantineNews QuarantineFrom(const json& list) {
-  QuarantineNews news;
-  for (const json& crash : list.at(0)) {
-    news.crashes.push_back(CrashFrom(crash));
-  }
-  const json& begun = Records(list.at(1), 2);
-  for (std::size_t i = 0; i < begun.size(); i += 2) {
-    news.begun.push_back({begun[i].get<SegmentHash>(), AgeFrom(begun[i + 1])});
-  }
-  const json& holds = Records(list.at(2), 3);
-  for (std::size_t i = 0; i < holds.size(); i += 3) {
-    news.holds.push_back(
-        {holds[i].get<SegmentHash>(), AgeFrom(holds[i + 1], kMaxHoldAge), CountFrom(holds[i + 2])});
-  }
-  return news;
-}
-
 // One number for each tag, in the order of the tags. Numbers below 128 take one byte.
 json EncodeDense(const std::vector<UpstreamLoad>& loads, const std::vector<std::uint32_t>& tags) {
   std::vector<std::uint32_t> counts(tags.size(), 0);
