--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -169,6 +169,19 @@
             door.silent = False
             door.ended.set()
 
+    def test_only_one_instance_of_a_data_centre_reads_the_store(self):
+        # An age limit for the list of instances that was set too late let every instance poll it.
+        self.store.put("op", "config", config(2))
+        gateways = [self.start() for _ in range(4)]
+        wait_until(lambda: all(gateway.is_ready() for gateway in gateways), "all ready")
+        time.sleep(4)  # each knows all others
+        before = dict(self.store.feed_calls)
+        time.sleep(8)
+        calls = {table: count - before.get(table, 0) for table, count in self.store.feed_calls.items()}
+        self.assertLessEqual(calls["chiverail-instances"], 2)
+        self.assertLessEqual(calls["op"], 15)  # one reader with a hold of 0.6 s
+        self.assertLessEqual(calls["servers"], 13)  # one reader with a hold of 0.5 s and a pause of 0.2 s
+
     def test_the_directory_lists_all_live_instances(self):
         first = self.start_serving()
         second = self.start()
