--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -99,7 +99,7 @@
   bool sent_ = false;
   bool head_emitted_ = false;
   int interim_responses_ = 0;
-  int responses_ = 0;  // complete ones
+  int responses_ = 0;               // complete ones
   bool skipping_response_ = false;  // the current response belongs to another request
   bool reusable_ = false;
   TimePoint idle_since_{};
