--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -218,6 +218,7 @@
         self.server = None
         self.sequence = 0
         self.born = 0
+        self.state = "ready"
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -225,15 +226,26 @@
         self.port = self.server.sockets[0].getsockname()[1]
         await self.beat()
 
-    async def beat(self):
-        self.sequence += 1
+    def entry(self):
         entry = {"service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": "bern-a", "version": "v1",
-                 "slots": 64 if self.engine else 6, "state": "ready", "cold_remaining_ms": 0,
+                 "slots": 64 if self.engine else 6, "state": self.state, "cold_remaining_ms": 0,
                  "sequence": self.sequence, "born": self.born}
         if self.engine:
             entry["phase"] = "both"
             entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
-        await self.rig.store.put("servers", self.id, entry)
+        return entry
+
+    async def beat(self):
+        self.sequence += 1
+        return await self.rig.store.put("servers", self.id, self.entry())
+
+    async def end(self):
+        """Ends as a process does: the port refuses, connections break, the entry is removed."""
+        self.server.close()
+        self.server = None
+        for writer in list(self.writers):
+            reset(writer)
+        await self.rig.store.delete("servers", self.id)
 
     async def heart(self):
         while True:
