Bound the age of messages between instances by echoes

Cause: a notice "my rows are confirmed, AGE old" was taken as of the moment at which it was read. The time that it had waited in the socket of a paused instance, hub or sender was not part of its age, and hubs passed such notices on. Change: messages carry the sender's clock and echo that of the last message from the receiver with the time since it was read, so the receiver knows the earliest time of sending by its own clock.

--- a/src/fleet_exchange.cc
+++ b/src/fleet_exchange.cc
@@ -252,6 +252,7 @@
     return roster_.FindByKey(entry.first) == nullptr;
   };
   forget(work_, unknown_key);
+  forget(heard_, unknown_key);
   forget(last_summary_, unknown_key);
   forget(roster_versions_, unknown_key);
   forget(reporters_,
--- a/src/fleet_exchange.h
+++ b/src/fleet_exchange.h
@@ -162,6 +162,12 @@
     std::uint64_t segment_cursor = 0;
   };
 
+  // The last message of another instance.
+  struct Heard {
+    std::uint64_t sent_ms = 0;  // on its clock
+    TimePoint read_at{};
+  };
+
   // Totals over all live instances.
   struct Totals {
     std::unordered_map<std::uint32_t, std::uint32_t> loads;
@@ -193,8 +199,14 @@
   std::set<InstanceId> ForwardTargets(TimePoint now) const;
   void CollectOwnSegments();
 
+  MessageTiming StampFor(std::uint32_t receiver, TimePoint now) const;
+  // Returns the earliest time at which a message can have been sent, or nothing if it is not known.
+  std::optional<TimePoint> EarliestSent(const MessageTiming& timing, TimePoint now) const;
+  void NoteTiming(std::uint32_t sender, const MessageTiming& timing, TimePoint now);
+
   InstanceWork OwnWork();
   void SendReport(const std::string& address,
+                  std::uint32_t receiver,
                   RosterAck ack,
                   TimePoint now,
                   std::vector<Outgoing>& out);
@@ -228,7 +240,9 @@
   void RecordNotices(const std::vector<TableNotice>& notices,
                      const std::string& from,
                      bool reported,
+                     const std::optional<TimePoint>& sent_at,
                      TimePoint now);
+  void RecordQuarantine(const QuarantineNews& news, TimePoint sent_at, TimePoint now);
   void RecordSegments(const std::vector<CachedSegment>& segments, TimePoint now, bool reported);
   RosterAck AckFor(std::uint32_t source) const;
   bool HasReporters(TimePoint now) const;
@@ -239,7 +253,7 @@
   std::vector<std::string> TakeSome(std::vector<std::string> addresses, std::size_t count);
   const Totals& CurrentTotals(TimePoint now) const;
   Totals OthersTotals(TimePoint now) const;
-  void KeepTotals(const HubSummary& summary, TimePoint now);
+  void KeepTotals(const HubSummary& summary, TimePoint sent_at, TimePoint now);
   bool HasSummary(TimePoint now) const;
 
   Duration period_;
@@ -271,6 +285,7 @@
   std::map<std::uint32_t, std::uint64_t> last_summary_;  // sequence, by the hub's key
 
   std::unordered_map<std::uint32_t, PeerWork> work_;  // by InstanceKey
+  std::unordered_map<std::uint32_t, Heard> heard_;    // by InstanceKey
   std::uint64_t last_stamp_ = 0;
   std::map<InstanceId, Reporter> reporters_;
   std::map<InstanceId, HubLink> hubs_;
--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // First element of each message; changes with every release that changes the format.
-constexpr int kFormatVersion = 10;
+constexpr int kFormatVersion = 11;
 
 // Second element: the type of the message.
 constexpr int kReportType = 0;
@@ -236,6 +236,15 @@
   return terms;
 }
 
+json Encode(const MessageTiming& timing) {
+  return json::array({timing.sent_ms, timing.echo_key, timing.echo_ms, timing.held_ms});
+}
+
+MessageTiming TimingFrom(const json& list) {
+  return {list.at(0).get<std::uint64_t>(), TagFrom(list.at(1)), list.at(2).get<std::uint64_t>(),
+          list.at(3).get<std::uint64_t>()};
+}
+
 // One number for each tag, in the order of the tags. Numbers below 128 take one byte.
 json EncodeDense(const std::vector<UpstreamLoad>& loads, const std::vector<std::uint32_t>& tags) {
   std::vector<std::uint32_t> counts(tags.size(), 0);
@@ -272,7 +281,8 @@
   json operator()(const InstanceReport& report) const {
     return json::array({kFormatVersion, kReportType, Encode(report.info), Encode(report.work),
                         Encode(report.ack), report.upstream_set, Encode(report.segments),
-                        Encode(report.notices), Encode(report.quarantine), Encode(report.terms)});
+                        Encode(report.notices), Encode(report.quarantine), Encode(report.terms),
+                        Encode(report.timing)});
   }
   json operator()(const HubForward& forward) const {
     json work = json::array();
@@ -282,7 +292,7 @@
     return json::array({kFormatVersion, kForwardType, Encode(forward.hub), forward.acts_as_hub,
                         forward.sequence, std::move(work), Encode(forward.roster),
                         Encode(forward.ack), Encode(forward.segments), Encode(forward.notices),
-                        Encode(forward.quarantine), Encode(forward.terms)});
+                        Encode(forward.quarantine), Encode(forward.terms), Encode(forward.timing)});
   }
   json operator()(const HubSummary& summary) const {
     return json::array(
@@ -290,7 +300,8 @@
          WholeMilliseconds(summary.age),
          dense_tags == nullptr ? Encode(summary.loads) : EncodeDense(summary.loads, *dense_tags),
          Encode(summary.services), Encode(summary.roster), Encode(summary.segments),
-         Encode(summary.notices), Encode(summary.quarantine), Encode(summary.terms)});
+         Encode(summary.notices), Encode(summary.quarantine), Encode(summary.terms),
+         Encode(summary.timing)});
   }
 };
 
@@ -304,6 +315,7 @@
   report.notices = NoticesFrom(message.at(7));
   report.quarantine = QuarantineFrom(message.at(8));
   report.terms = TermsFrom(message.at(9));
+  report.timing = TimingFrom(message.at(10));
   if (report.work.key != InstanceKey(report.info.instance, report.info.start_id)) {
     throw MalformedMessage("key of another instance");
   }
@@ -324,6 +336,7 @@
   forward.notices = NoticesFrom(message.at(9));
   forward.quarantine = QuarantineFrom(message.at(10));
   forward.terms = TermsFrom(message.at(11));
+  forward.timing = TimingFrom(message.at(12));
   return forward;
 }
 
@@ -340,6 +353,7 @@
   summary.notices = NoticesFrom(message.at(10));
   summary.quarantine = QuarantineFrom(message.at(11));
   summary.terms = TermsFrom(message.at(12));
+  summary.timing = TimingFrom(message.at(13));
   return summary;
 }
 
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -87,6 +87,19 @@
   std::uint64_t version = 0;  // of the last row that changed
   Duration age{};             // of the copy; whole milliseconds in messages
   std::string source;         // peer address of the instance with the copy; empty for the sender
+  // Receiver only: `age` includes the time since the message was sent. If not, it is a lower bound,
+  // and the notice must not confirm any rows.
+  bool dated = true;
+};
+
+// When a message was sent. The receiver finds a lower bound for that on its own clock from the echo
+// of a message of its own, however long the message or its sender was held up and whatever the
+// clocks of the two instances show. Times are whole milliseconds, rounded down.
+struct MessageTiming {
+  std::uint64_t sent_ms = 0;   // on the sender's clock
+  std::uint32_t echo_key = 0;  // InstanceKey of the receiver; 0 if it was not heard yet
+  std::uint64_t echo_ms = 0;   // `sent_ms` of the receiver's last message
+  std::uint64_t held_ms = 0;   // from reading that message to sending this one
 };
 
 // From an instance to its hub, which answers with a HubSummary.
@@ -99,6 +112,7 @@
   std::vector<TableNotice> notices;
   QuarantineNews quarantine;
   std::vector<UpstreamTermsEntry> terms;
+  MessageTiming timing;
 };
 
 // From a hub to the other hubs: the state of the instances that report to it, and its own.
@@ -114,6 +128,7 @@
   std::vector<TableNotice> notices;
   QuarantineNews quarantine;
   std::vector<UpstreamTermsEntry> terms;
+  MessageTiming timing;
 };
 
 // From a hub to an instance that has reported: the state of the fleet.
@@ -130,6 +145,7 @@
   std::vector<TableNotice> notices;
   QuarantineNews quarantine;
   std::vector<UpstreamTermsEntry> terms;
+  MessageTiming timing;
 };
 
 using FleetMessage = std::variant<InstanceReport, HubForward, HubSummary>;
--- a/src/fleet_receive.cc
+++ b/src/fleet_receive.cc
@@ -37,20 +37,59 @@
   }
 }
 
+// The echo was sent by this instance before the receiver of it read it, and that was `held_ms`
+// before the message was sent.
+std::optional<TimePoint> FleetExchange::EarliestSent(const MessageTiming& timing,
+                                                     TimePoint now) const {
+  const InstanceInfo& self = roster_.self();
+  const TimePoint echo{milliseconds(timing.echo_ms)};
+  const Duration held = milliseconds(timing.held_ms);
+  if (timing.echo_key != InstanceKey(self.instance, self.start_id) || now < echo ||
+      now - echo < held) {
+    return std::nullopt;
+  }
+  return echo + held;
+}
+
+void FleetExchange::NoteTiming(std::uint32_t sender, const MessageTiming& timing, TimePoint now) {
+  Heard& heard = heard_[sender];
+  if (timing.sent_ms >= heard.sent_ms) {
+    heard = {timing.sent_ms, now};
+  }
+}
+
 void FleetExchange::RecordNotices(const std::vector<TableNotice>& notices,
                                   const std::string& from,
                                   bool reported,
+                                  const std::optional<TimePoint>& sent_at,
                                   TimePoint now) {
-  for (const TableNotice& notice : notices) {
-    const std::string& source = notice.source.empty() ? from : notice.source;
+  for (TableNotice notice : notices) {
+    const std::string source = notice.source.empty() ? from : notice.source;
     if (source == roster_.self().peer_address) {
       continue;
     }
-    notice_relay_.OnNotice(source, notice, reported, now);
+    notice.dated = sent_at.has_value();
+    if (notice.dated) {
+      notice.age += now - *sent_at;
+      notice_relay_.OnNotice(source, notice, reported, now);
+    }
     hooks_.on_notice(source, notice);
   }
 }
 
+void FleetExchange::RecordQuarantine(const QuarantineNews& news, TimePoint sent_at, TimePoint now) {
+  QuarantineNews aged = news;
+  const auto add_age = [passed = now - sent_at](auto& entries) {
+    for (auto& entry : entries) {
+      entry.age += passed;
+    }
+  };
+  add_age(aged.crashes);
+  add_age(aged.begun);
+  add_age(aged.holds);
+  hooks_.on_quarantine(aged, now);
+}
+
 // Changes are applied without gaps only. If a message is lost, the sender repeats them, since its
 // receiver does not acknowledge them. Liveness is judged by this instance's hub or, if it is one,
 // by itself: from any other source it learns only of instances that it does not know.
@@ -123,14 +162,17 @@
       report.work.sequence <= known->second.sequence) {
     return DropReason::kReplayed;
   }
-  if (!roster_.OnHeard(report.info, now, now)) {
+  const std::optional<TimePoint> dated = EarliestSent(report.timing, now);
+  const TimePoint sent_at = dated.value_or(now);
+  if (!roster_.OnHeard(report.info, sent_at, now)) {
     return DropReason::kEarlierRun;
   }
-  AcceptWork(report.work, now, true);
-  hooks_.on_quarantine(report.quarantine, now);
-  hooks_.on_terms(report.terms, now);
+  NoteTiming(report.work.key, report.timing, now);
+  AcceptWork(report.work, sent_at, true);
+  RecordQuarantine(report.quarantine, sent_at, now);
+  hooks_.on_terms(report.terms, sent_at);
   RecordSegments(report.segments, now, true);
-  RecordNotices(report.notices, from, true, now);
+  RecordNotices(report.notices, from, true, dated, now);
   NoteContact(now);
   const auto [reporter, added] = reporters_.try_emplace(report.info.instance);
   if (added) {
@@ -148,7 +190,9 @@
 std::optional<DropReason> FleetExchange::OnForward(const HubForward& forward,
                                                    const std::string& from,
                                                    TimePoint now) {
-  if (!roster_.OnHeard(forward.hub, now, now)) {
+  const std::optional<TimePoint> dated = EarliestSent(forward.timing, now);
+  const TimePoint sent_at = dated.value_or(now);
+  if (!roster_.OnHeard(forward.hub, sent_at, now)) {
     return DropReason::kEarlierRun;
   }
   HubLink& link = hubs_[forward.hub.instance];
@@ -161,6 +205,7 @@
     return DropReason::kReplayed;
   }
   NoteContact(now);
+  NoteTiming(InstanceKey(forward.hub.instance, forward.hub.start_id), forward.timing, now);
   link.sequence = forward.sequence;
   if (forward.acts_as_hub) {
     link.heard_at = now;
@@ -176,12 +221,12 @@
                 now);
   }
   for (const InstanceWork& work : forward.work) {
-    AcceptWork(work, now, false);
+    AcceptWork(work, sent_at, false);
   }
   RecordSegments(forward.segments, now, false);
-  RecordNotices(forward.notices, from, false, now);
-  hooks_.on_quarantine(forward.quarantine, now);
-  hooks_.on_terms(forward.terms, now);
+  RecordNotices(forward.notices, from, false, dated, now);
+  RecordQuarantine(forward.quarantine, sent_at, now);
+  hooks_.on_terms(forward.terms, sent_at);
   return std::nullopt;
 }
 
@@ -193,7 +238,9 @@
   if (asked == asked_.end() || asked->second + timing_.silence < now) {
     return DropReason::kUnasked;
   }
-  if (!roster_.OnHeard(summary.hub, now, now)) {
+  const std::optional<TimePoint> dated = EarliestSent(summary.timing, now);
+  const TimePoint sent_at = dated.value_or(now);
+  if (!roster_.OnHeard(summary.hub, sent_at, now)) {
     return DropReason::kEarlierRun;
   }
   const std::uint32_t key = InstanceKey(summary.hub.instance, summary.hub.start_id);
@@ -203,6 +250,7 @@
   }
   last = summary.sequence;
   NoteContact(now);
+  NoteTiming(key, summary.timing, now);
   suspected_until_.erase(summary.hub.instance);
   const bool from_hub = summary.hub.instance == hub_;
   if (from_hub) {
@@ -211,18 +259,18 @@
     ApplyRoster(key, summary.roster, false, now);
   }
   RecordSegments(summary.segments, now, false);
-  RecordNotices(summary.notices, from, false, now);
-  hooks_.on_quarantine(summary.quarantine, now);
-  hooks_.on_terms(summary.terms, now);
+  RecordNotices(summary.notices, from, false, dated, now);
+  RecordQuarantine(summary.quarantine, sent_at, now);
+  hooks_.on_terms(summary.terms, sent_at);
   if (summary.roster.more && (from_hub || is_hub_)) {
     // The rest of the roster is asked for at once: a new instance knows few others so far.
-    SendReport(from, AckFor(key), now, out);
+    SendReport(from, key, AckFor(key), now, out);
   }
   if (!from_hub) {
     return std::nullopt;
   }
   unanswered_since_ = {};
-  KeepTotals(summary, now);
+  KeepTotals(summary, sent_at, now);
   return std::nullopt;
 }
 
--- a/src/fleet_send.cc
+++ b/src/fleet_send.cc
@@ -8,6 +8,11 @@
 namespace chiverail {
 namespace {
 
+std::uint64_t ClockMilliseconds(TimePoint time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count());
+}
+
 // Addresses that are tried at once, and those of instances that have fallen silent among them.
 constexpr std::size_t kProbesAtOnce = 6;
 constexpr std::size_t kProbesOfSilent = 2;
@@ -34,6 +39,18 @@
   return {source, found == roster_versions_.end() ? 0 : found->second};
 }
 
+MessageTiming FleetExchange::StampFor(std::uint32_t receiver, TimePoint now) const {
+  MessageTiming timing;
+  timing.sent_ms = ClockMilliseconds(now);
+  const auto heard = heard_.find(receiver);
+  if (heard != heard_.end()) {
+    timing.echo_key = receiver;
+    timing.echo_ms = heard->second.sent_ms;
+    timing.held_ms = ClockMilliseconds(TimePoint(now - heard->second.read_at));
+  }
+  return timing;
+}
+
 void FleetExchange::CollectOwnSegments() {
   for (const CachedSegment& segment : hooks_.take_segments()) {
     reported_segments_.Add(segment);
@@ -42,6 +59,7 @@
 }
 
 void FleetExchange::SendReport(const std::string& address,
+                               std::uint32_t receiver,
                                RosterAck ack,
                                TimePoint now,
                                std::vector<Outgoing>& out) {
@@ -57,6 +75,7 @@
   report.terms = hooks_.terms(now);
   report.ack = ack;
   report.upstream_set = upstream_set_;
+  report.timing = StampFor(receiver, now);
   asked_[address] = now;
   out.push_back({address, std::move(report)});
 }
@@ -67,7 +86,7 @@
     return;
   }
   unanswered_since_ = unanswered_since_ == TimePoint{} ? now : unanswered_since_;
-  SendReport(hub->info.peer_address, AckFor(hub->key), now, out);
+  SendReport(hub->info.peer_address, hub->key, AckFor(hub->key), now, out);
   std::get<InstanceReport>(out.back().message).segments = hooks_.take_segments();
 }
 
@@ -96,6 +115,7 @@
   notice_relay_.AddReported(first.notices, now);
   first.quarantine = hooks_.quarantine(now);
   first.terms = hooks_.terms(now);
+  first.timing = StampFor(hub.key, now);
   first.work.push_back(OwnWork());
   std::vector<HubForward> forwards{std::move(first)};
   for (const auto& [key, peer] : work_) {
@@ -107,6 +127,7 @@
       next.hub = roster_.self();
       next.acts_as_hub = ActsAsHub(now);
       next.ack = AckFor(hub.key);
+      next.timing = StampFor(hub.key, now);
       // No roster: an empty range that starts at the receiver's version changes nothing.
       next.roster.from = next.roster.version = link.acked;
       forwards.push_back(std::move(next));
@@ -204,7 +225,8 @@
   }
   for (const std::string& address : probed) {
     const FleetRoster::Member* known = FindByAddress(address);
-    SendReport(address, known == nullptr ? RosterAck{} : AckFor(known->key), now, out);
+    SendReport(address, known == nullptr ? 0 : known->key,
+               known == nullptr ? RosterAck{} : AckFor(known->key), now, out);
   }
 }
 
@@ -238,6 +260,7 @@
   notice_relay_.AddForReporter(summary.notices, InstanceRank(report.info.instance), now);
   summary.quarantine = hooks_.quarantine(now);
   summary.terms = hooks_.terms(now);
+  summary.timing = StampFor(report.work.key, now);
   out.push_back({address, std::move(summary), report.upstream_set == upstream_set_});
 }
 
--- a/src/fleet_totals.cc
+++ b/src/fleet_totals.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 // Keeps the totals without the part of this instance, which is the state that it reported then.
-void FleetExchange::KeepTotals(const HubSummary& summary, TimePoint now) {
+void FleetExchange::KeepTotals(const HubSummary& summary, TimePoint sent_at, TimePoint now) {
   const auto own =
       std::find_if(own_reports_.begin(), own_reports_.end(),
                    [&](const OwnReport& report) { return report.sequence == summary.answers; });
@@ -31,7 +31,7 @@
   }
   others_.age = summary.age;
   others_.Subtract(own->loads, own->services);
-  summary_at_ = now;
+  summary_at_ = sent_at;
 }
 
 void FleetExchange::Totals::Subtract(const std::vector<UpstreamLoad>& own_loads,
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -100,6 +100,9 @@
     return false;
   }
   if (notice.version <= version_) {
+    if (!notice.dated) {
+      return false;
+    }
     last_good_source_ = source;
     failures_ = 0;
     next_at_ = now + SourceChoice::kNoticeTimeout;
--- a/tests/table_sim.h
+++ b/tests/table_sim.h
@@ -24,7 +24,7 @@
     fleet.notices = [this](std::size_t i) { return Notices(i); };
     fleet.on_notice = [this](std::size_t i, const std::string& source, const TableNotice& notice) {
       if (followers_[i]->OnNotice(source, notice, View(i), fleet.now())) {
-        copies_[i].as_of = std::max(copies_[i].as_of, fleet.now() - notice.age);
+        Confirm(i, fleet.now() - notice.age);
       }
       Advance(i);
     };
@@ -48,11 +48,37 @@
   void Commit() {
     ++store_version_;
     committed_at_ = fleet.now();
+    commits_.push_back(committed_at_);
     for (auto& poll : std::exchange(held_, {})) {
       poll();
     }
   }
 
+  // Stops an instance. What arrives meanwhile waits for it.
+  void Pause(std::size_t i) { fleet.Pause(i); }
+
+  // Lets an instance go on: it reads the datagrams and the responses that have arrived, in this
+  // order, before its timers run.
+  void Resume(std::size_t i) {
+    fleet.Resume(i);
+    for (const auto& end : std::exchange(ends_[i], {})) {
+      end();
+    }
+    Advance(i);
+  }
+
+  // Time as of which an instance takes its rows for the newest ones.
+  TimePoint AsOf(std::size_t i) const { return copies_[i].as_of; }
+
+  // Runs until an instance has confirmed its rows as of `time` or later; returns how long it took.
+  Duration UntilConfirmed(std::size_t i, TimePoint time, Duration limit) {
+    const TimePoint start = fleet.now();
+    while (fleet.now() < start + limit && copies_[i].as_of < time) {
+      fleet.Run(milliseconds(1));
+    }
+    return fleet.now() - start;
+  }
+
   // Runs until all running instances have the newest rows; returns how long ago these were
   // committed.
   Duration UntilInForce(Duration limit) {
@@ -85,6 +111,7 @@
   ExchangeFleet fleet;
   std::set<std::size_t> silenced;  // get no answers from the store
   int store_calls = 0;
+  int false_confirmations = 0;  // rows taken for the newest ones as of a time when they were not
 
  private:
   struct Copy {
@@ -92,6 +119,14 @@
     TimePoint as_of{};
   };
 
+  void Confirm(std::size_t i, TimePoint as_of) {
+    Copy& copy = copies_[i];
+    copy.as_of = std::max(copy.as_of, as_of);
+    // The first version has no commit.
+    const bool newest = copy.version > commits_.size() || commits_[copy.version - 1] > copy.as_of;
+    false_confirmations += newest ? 0 : 1;
+  }
+
   SourceView View(std::size_t i) const {
     const FleetRoster& roster = fleet.nodes[i].exchange->roster();
     return {roster.StoreReaders(), roster.live_count(), roster.DirectReadTurn()};
@@ -181,6 +216,10 @@
 
   void End(std::size_t i, std::uint64_t call, ReadResult result, Copy rows) {
     TableFollower& follower = *followers_[i];
+    if (fleet.nodes[i].paused) {
+      ends_[i].emplace_back([=] { End(i, call, result, rows); });
+      return;
+    }
     if (!fleet.nodes[i].exchange || !follower.IsCurrent(call)) {
       return;
     }
@@ -192,7 +231,7 @@
     follower.OnRead(result, rows.version, changed, fleet.now());
     if (result == ReadResult::kRows) {
       copies_[i].version = std::max(copies_[i].version, rows.version);
-      copies_[i].as_of = std::max(copies_[i].as_of, rows.as_of);
+      Confirm(i, rows.as_of);
     }
     const bool healthy = follower.StoreHealthy(fleet.now());
     ExchangeFleet::Node& node = fleet.nodes[i];
@@ -209,6 +248,8 @@
   std::vector<Copy> copies_;
   std::map<std::size_t, std::uint64_t> roster_versions_;
   std::vector<std::function<void()>> held_;
+  std::map<std::size_t, std::vector<std::function<void()>>> ends_;  // of calls of paused instances
+  std::vector<TimePoint> commits_;  // of the versions after the first one
   std::uint64_t store_version_ = 1;
   TimePoint committed_at_{};
 };
