Hold a prompt segment by the ends of upstreams, not by their names

Cause: PromptQuarantine asked for ends of two upstreams with different ids, and took a row of ends less than 60 ms apart for one. Change: five ends suffice, whichever upstreams they are of; three for a segment that was never answered, under several upstreams that rarely ended without it. Ends count from the first one with the same cause. One upstream's ends differ if they are 1.5 s apart. Ends within 1 s alone, perhaps of a data centre, hold no segment that was answered before, and others for 5 s.

--- a/src/prompt_quarantine.cc
+++ b/src/prompt_quarantine.cc
@@ -113,33 +113,55 @@
 // Drops the oldest report that makes no segment more suspect than any other, so that the ends of
 // many upstreams at once, or made-up segments, don't displace the evidence against one segment.
 void PromptQuarantine::MakeRoom() {
-  const auto upstreams = UpstreamsBySegment();
-  const auto dropped =
-      std::min_element(reports_.begin(), reports_.end(), [&](const Report& a, const Report& b) {
-        return MostUpstreams(a, upstreams) < MostUpstreams(b, upstreams);
-      });
+  const SegmentEnds ends = EndsBySegment();
+  const auto dropped = std::min_element(
+      reports_.begin(), reports_.end(),
+      [&](const Report& a, const Report& b) { return MostEnds(a, ends) < MostEnds(b, ends); });
   reports_.erase(dropped);
 }
 
-// Upstreams that ended under each segment since it was last answered.
-PromptQuarantine::SegmentUpstreams PromptQuarantine::UpstreamsBySegment() const {
-  SegmentUpstreams upstreams;
+std::vector<std::vector<const PromptQuarantine::Report*>> PromptQuarantine::ReportsByEnd() const {
+  std::vector<const Report*> by_time;
   for (const Report& report : reports_) {
-    for (const SegmentHash segment : report.segments) {
-      if (LastBegun(segment) < report.at) {
-        upstreams[segment].insert(report.upstream);
+    by_time.push_back(&report);
+  }
+  std::stable_sort(by_time.begin(), by_time.end(),
+                   [](const Report* a, const Report* b) { return a->at < b->at; });
+  std::vector<std::vector<const Report*>> ends;
+  std::unordered_map<std::uint32_t, std::size_t> last;  // end of each upstream
+  for (const Report* report : by_time) {
+    const auto [end, first] = last.try_emplace(report->upstream, ends.size());
+    if (!first && report->at < ends[end->second].front()->at + kSameEnd) {
+      ends[end->second].push_back(report);
+      continue;
+    }
+    end->second = ends.size();
+    ends.push_back({report});
+  }
+  return ends;
+}
+
+// Ends under each segment since it was last answered.
+PromptQuarantine::SegmentEnds PromptQuarantine::EndsBySegment() const {
+  SegmentEnds ends;
+  const auto reports = ReportsByEnd();
+  for (std::size_t i = 0; i < reports.size(); ++i) {
+    for (const Report* report : reports[i]) {
+      for (const SegmentHash segment : report->segments) {
+        if (LastBegun(segment) < report->at) {
+          ends[segment].insert(i);
+        }
       }
     }
   }
-  return upstreams;
+  return ends;
 }
 
-std::size_t PromptQuarantine::MostUpstreams(const Report& report,
-                                            const SegmentUpstreams& upstreams) const {
+std::size_t PromptQuarantine::MostEnds(const Report& report, const SegmentEnds& ends) const {
   std::size_t most = 0;
   for (const SegmentHash segment : report.segments) {
-    const auto found = upstreams.find(segment);
-    if (found != upstreams.end() && LastBegun(segment) < report.at) {
+    const auto found = ends.find(segment);
+    if (found != ends.end() && LastBegun(segment) < report.at) {
       most = std::max(most, found->second.size());
     }
   }
@@ -198,32 +220,23 @@
 // Merges the reports of all instances into the ends of upstreams, by time, without those that held
 // segments explain.
 std::vector<PromptQuarantine::End> PromptQuarantine::UnexplainedEnds() const {
-  std::vector<const Report*> by_time;
-  for (const Report& report : reports_) {
-    if (report.cleared_at == TimePoint{}) {
-      by_time.push_back(&report);
-    }
-  }
-  std::stable_sort(by_time.begin(), by_time.end(),
-                   [](const Report* a, const Report* b) { return a->at < b->at; });
   std::vector<End> ends;
-  for (const Report* report : by_time) {
-    auto end = std::find_if(ends.begin(), ends.end(), [&](const End& other) {
-      return other.upstream == report->upstream && report->at < other.at + kSameEnd;
-    });
-    if (end == ends.end()) {
-      ends.push_back({report->upstream, report->at, report->known_at, {}});
-      end = std::prev(ends.end());
+  for (const auto& reports : ReportsByEnd()) {
+    End end{reports.front()->upstream, reports.front()->at, TimePoint::max(), {}};
+    for (const Report* report : reports) {
+      if (report->cleared_at == TimePoint{}) {
+        end.known_at = std::min(end.known_at, report->known_at);
+        end.segments.insert(report->segments.begin(), report->segments.end());
+      }
+    }
+    const bool explained =
+        std::any_of(end.segments.begin(), end.segments.end(), [&](SegmentHash segment) {
+          return holds_.count(segment) > 0 && LastBegun(segment) < end.at;
+        });
+    if (!end.segments.empty() && !explained) {
+      ends.push_back(std::move(end));
     }
-    end->known_at = std::min(end->known_at, report->known_at);
-    end->segments.insert(report->segments.begin(), report->segments.end());
   }
-  const auto is_explained = [this](const End& end) {
-    return std::any_of(end.segments.begin(), end.segments.end(), [&](SegmentHash segment) {
-      return holds_.count(segment) > 0 && LastBegun(segment) < end.at;
-    });
-  };
-  ends.erase(std::remove_if(ends.begin(), ends.end(), is_explained), ends.end());
   return ends;
 }
 
@@ -235,23 +248,38 @@
   culprit.segment = segment;
   const TimePoint begun = LastBegun(segment);
   culprit.known = begun != TimePoint{};
-  const std::size_t needed = culprit.known ? kEndsOfKnown : kEndsOfNew;
   std::set<std::uint32_t> upstreams;
-  TimePoint sufficient_at{};
+  TimePoint first{};
+  TimePoint cause{};  // first end of those with the same cause
+  std::vector<TimePoint> known_at;
   for (const End& end : ends) {
     if (end.segments.count(segment) == 0 || end.at <= begun) {
       continue;
     }
     upstreams.insert(end.upstream);
-    if (culprit.last == TimePoint{} || culprit.last + kSameCause <= end.at) {
-      ++culprit.ends;
-    }
+    first = first == TimePoint{} ? end.at : first;
     culprit.last = end.at;
-    if (culprit.ends <= needed) {
-      sufficient_at = std::max(sufficient_at, end.known_at);
+    if (cause == TimePoint{} || cause + kSameCause <= end.at) {
+      cause = end.at;
+      known_at.push_back(end.known_at);
     }
   }
-  if (culprit.ends < needed || upstreams.size() < 2 || now < sufficient_at + kSettleTime) {
+  culprit.ends = known_at.size();
+  // Upstreams that end as often without the segment do so by themselves.
+  const auto without = std::count_if(ends.begin(), ends.end(), [&](const End& end) {
+    return first <= end.at && end.at <= culprit.last && end.segments.count(segment) == 0 &&
+           upstreams.count(end.upstream) > 0;
+  });
+  const bool telling =
+      !culprit.known && upstreams.size() > 1 && static_cast<std::size_t>(without) < culprit.ends;
+  const std::size_t needed = telling ? kEndsOfNew : kEnoughEnds;
+  culprit.burst = culprit.last < first + kBurstTime;
+  if (culprit.ends < needed || (culprit.known && culprit.burst)) {
+    return std::nullopt;
+  }
+  std::nth_element(known_at.begin(), known_at.begin() + static_cast<std::ptrdiff_t>(needed) - 1,
+                   known_at.end());
+  if (now < known_at[needed - 1] + kSettleTime) {
     return std::nullopt;
   }
   culprit.upstreams.assign(upstreams.begin(), upstreams.end());
@@ -297,7 +325,7 @@
       best = culprit;
     }
   }
-  if (best && ambiguous && best->ends < kEndsOfKnown) {
+  if (best && ambiguous && best->ends < kEnoughEnds) {
     return std::nullopt;
   }
   return best;
@@ -312,6 +340,7 @@
   }
   Hold hold;
   hold.since = culprit.last;
+  hold.strikes = culprit.burst ? 0 : 1;
   changes_.push_back(
       {QuarantineEvent::kHeld, culprit.segment, RetryAfter(hold, now), culprit.upstreams});
   holds_[culprit.segment] = hold;
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -42,7 +42,7 @@
 struct SegmentHold {
   SegmentHash segment = 0;
   Duration age{};             // of the last crash that is ascribed to it
-  std::uint32_t strikes = 0;  // trials after which an upstream ended
+  std::uint32_t strikes = 0;  // see PromptQuarantine::kHoldTime
 };
 
 // What an instance tells the others. It is repeated in many messages, so that no loss matters.
@@ -81,11 +81,12 @@
 //
 // An upstream that ends takes all its requests with it, and only one of them need be the cause. A
 // request is a suspect only if its answer had not begun. A segment is held if upstreams ended again
-// and again, at different times and places, while requests with it waited for their answers, and no
-// answer with it has begun since the first of these ends, anywhere in the fleet. Ends that a held
-// segment explains don't count against the others that were there. Instances exchange their
-// observations, not sums, so that one end that several instances see, or hear of twice, counts
-// once.
+// and again, at different times, while requests with it waited for their answers, and no answer
+// with it has begun since the first of these ends, anywhere in the fleet. What counts are ends: one
+// upstream that is restarted and ends again is as good evidence as several, only more of it is
+// needed, since an upstream may also end by itself. Ends that a held segment explains don't count
+// against the others that were there. Instances exchange their observations, not sums, so that one
+// end that several instances see, or hear of twice, counts once.
 class PromptQuarantine {
  public:
   // `self` is the InstanceKey of this instance.
@@ -136,24 +137,31 @@
   // Evidence older than this is dropped. Long enough for requests that come seldom.
   static constexpr Duration kEvidenceTime = seconds(300);
 
-  // Ends at different times under a segment that suffice to hold it if no request with it was ever
-  // answered, and if some were before the first of these ends.
+  // Ends at different times under a segment that always suffice to hold it, and those that suffice
+  // if no request with it was ever answered, several upstreams ended, and these rarely ended
+  // without it.
+  static constexpr std::size_t kEnoughEnds = 5;
   static constexpr std::size_t kEndsOfNew = 3;
-  static constexpr std::size_t kEndsOfKnown = 5;
 
   // The last one of these ends must be known for this long: answers that clear the segment may
   // still be on their way from other instances.
   static constexpr Duration kSettleTime = milliseconds(750);
 
-  // Ends of different upstreams within this time have one cause, such as the loss of a rack.
+  // Ends within this time of each other have one cause, such as the loss of a rack.
   static constexpr Duration kSameCause = milliseconds(60);
 
-  // An upstream that has ended is not back, and can't end again, within this time.
-  static constexpr Duration kSameEnd = seconds(2);
+  // An upstream takes longer than this to end, start and end again.
+  static constexpr Duration kSameEnd = milliseconds(1500);
 
-  // A segment is held for this long after the last end; twice as long after each strike.
+  // Ends within this time may be those of a data centre. A segment that was answered before is not
+  // held because of them alone, a new one for kBriefHoldTime only.
+  static constexpr Duration kBurstTime = seconds(1);
+  static constexpr Duration kBriefHoldTime = seconds(5);
+
+  // A segment is held for this long after the last end, and twice as long with each strike after
+  // the first. A brief hold has no strikes; an end after a trial adds one.
   static constexpr Duration kHoldTime = seconds(60);
-  static constexpr std::uint32_t kMaxStrikes = 4;
+  static constexpr std::uint32_t kMaxStrikes = 5;
 
   // Time for the answer of a trial to begin before the next trial.
   static constexpr Duration kTrialTime = seconds(10);
@@ -180,7 +188,9 @@
     std::uint32_t strikes = 0;
     TimePoint trial_at{};  // last trial by this instance
 
-    Duration Length() const { return kHoldTime * (1 << strikes); }
+    Duration Length() const {
+      return strikes == 0 ? kBriefHoldTime : Duration(kHoldTime * (1 << (strikes - 1)));
+    }
     TimePoint until() const { return since + Length(); }
     // When it is forgotten if no trial is made. Its evidence has expired by then.
     TimePoint forgotten_at() const {
@@ -199,14 +209,16 @@
   // A segment that the evidence suffices to hold.
   struct Culprit {
     SegmentHash segment = 0;
-    bool known = false;  // requests with it were answered before
-    std::size_t ends = 0;
+    bool known = false;        // requests with it were answered before
+    std::size_t ends = 0;      // at different times
     std::size_t position = 0;  // in the prompt, counted from the first segment
+    bool burst = false;        // all of them within kBurstTime
     TimePoint last{};
     std::vector<std::uint32_t> upstreams;
   };
 
-  using SegmentUpstreams = std::unordered_map<SegmentHash, std::set<std::uint32_t>>;
+  // Numbers of the ends under each segment.
+  using SegmentEnds = std::unordered_map<SegmentHash, std::set<std::size_t>>;
 
   TimePoint LastBegun(SegmentHash segment) const;
   bool MayTry(SegmentHash segment, Hold& hold, bool owns_trial, TimePoint now);
@@ -216,8 +228,10 @@
                           std::vector<SegmentHash>& segments);
   void ProlongHolds(const Report& report);
   void MakeRoom();
-  SegmentUpstreams UpstreamsBySegment() const;
-  std::size_t MostUpstreams(const Report& report, const SegmentUpstreams& upstreams) const;
+  // Reports by the end that they are about, in the order of the ends.
+  std::vector<std::vector<const Report*>> ReportsByEnd() const;
+  SegmentEnds EndsBySegment() const;
+  std::size_t MostEnds(const Report& report, const SegmentEnds& ends) const;
   bool IsCleared(const Report& report) const;
   std::vector<const Report*> ReportsToTell(TimePoint now) const;
   std::vector<End> UnexplainedEnds() const;
--- a/src/quarantine_news.cc
+++ b/src/quarantine_news.cc
@@ -33,19 +33,17 @@
   if (reports_.empty()) {
     return told;
   }
-  const auto upstreams = UpstreamsBySegment();
+  const SegmentEnds ends = EndsBySegment();
   for (const Report& report : reports_) {
     const bool cleared = report.cleared_at != TimePoint{};
     const bool is_new = now < report.known_at + kTellNew;
-    if (cleared ? now < report.cleared_at + kTellCleared
-                : is_new || MostUpstreams(report, upstreams) > 1) {
+    if (cleared ? now < report.cleared_at + kTellCleared : is_new || MostEnds(report, ends) > 1) {
       told.push_back(&report);
     }
   }
   if (told.size() > kMaxReportsSent) {
     std::stable_sort(told.begin(), told.end(), [&](const Report* a, const Report* b) {
-      return std::make_pair(MostUpstreams(*a, upstreams), a->at) >
-             std::make_pair(MostUpstreams(*b, upstreams), b->at);
+      return std::make_pair(MostEnds(*a, ends), a->at) > std::make_pair(MostEnds(*b, ends), b->at);
     });
     told.resize(kMaxReportsSent);
   }
