Keep the most suspect prompt segments in the report of an end

Cause: the report of an end holds 32 segments and took the first ones of the prompt; the relay cut its list the same way. Change: where a list is cut, the segments under which most upstreams have ended stay, then those that were never answered or not for the longest time. Limits of reports and messages are as before.

--- a/src/prompt_quarantine.cc
+++ b/src/prompt_quarantine.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <unordered_set>
 
 #include <xxhash.h>
 
@@ -71,7 +72,9 @@
   });
   if (known != reports_.end()) {
     known->at = std::min(known->at, report.at);
-    AddSegments(report.segments, known->segments);
+    std::vector<SegmentHash> segments = known->segments;
+    segments.insert(segments.end(), report.segments.begin(), report.segments.end());
+    known->segments = MostSuspect(segments, kMaxSegmentsPerReport);
     return;
   }
   if (reports_.size() >= kMaxReports) {
@@ -79,19 +82,47 @@
   }
   ProlongHolds(report);
   report.known_at = now;
-  const std::vector<SegmentHash> segments = std::exchange(report.segments, {});
+  report.segments = MostSuspect(report.segments, kMaxSegmentsPerReport);
   reports_.push_back(std::move(report));
-  AddSegments(segments, reports_.back().segments);
 }
 
-void PromptQuarantine::AddSegments(const std::vector<SegmentHash>& added,
-                                   std::vector<SegmentHash>& segments) {
-  for (const SegmentHash segment : added) {
-    const bool listed = std::count(segments.begin(), segments.end(), segment) > 0;
-    if (!listed && segments.size() < kMaxSegmentsPerReport) {
-      segments.push_back(segment);
+std::vector<SegmentHash> PromptQuarantine::MostSuspect(const std::vector<SegmentHash>& segments,
+                                                       std::size_t limit) const {
+  std::vector<SegmentHash> once;
+  std::unordered_set<SegmentHash> listed;
+  for (const SegmentHash segment : segments) {
+    if (listed.insert(segment).second) {
+      once.push_back(segment);
     }
   }
+  if (once.size() <= limit) {
+    return once;
+  }
+  const SegmentEnds ends = EndsBySegment();
+  struct Ranked {
+    std::size_t ends;
+    TimePoint begun;
+    std::size_t position;
+  };
+  std::vector<Ranked> ranked;
+  for (std::size_t i = 0; i < once.size(); ++i) {
+    const auto found = ends.find(once[i]);
+    ranked.push_back({found == ends.end() ? 0 : found->second.size(), LastBegun(once[i]), i});
+  }
+  const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(limit);
+  std::nth_element(ranked.begin(), last, ranked.end(), [](const Ranked& a, const Ranked& b) {
+    // Later segments are shared by fewer requests.
+    return std::make_tuple(b.ends, a.begun, b.position) <
+           std::make_tuple(a.ends, b.begun, a.position);
+  });
+  ranked.erase(last, ranked.end());
+  std::sort(ranked.begin(), ranked.end(),
+            [](const Ranked& a, const Ranked& b) { return a.position < b.position; });
+  std::vector<SegmentHash> most;
+  for (const Ranked& segment : ranked) {
+    most.push_back(once[segment.position]);
+  }
+  return most;
 }
 
 // Requests that were on their way when their segment was held, and trials.
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -122,6 +122,12 @@
   // with it has ever been answered. Such a request should not be sent again.
   bool IsSuspect(const std::vector<SegmentHash>& segments) const;
 
+  // Returns at most `limit` of these segments, in their order and each once: those under which most
+  // upstreams have ended, then those that were never answered or not for the longest time, so that
+  // segments of sound requests don't displace a deadly one.
+  std::vector<SegmentHash> MostSuspect(const std::vector<SegmentHash>& segments,
+                                       std::size_t limit) const;
+
   // Weighs the evidence and drops what is old. Called several times a second.
   void Update(TimePoint now);
 
@@ -224,8 +230,6 @@
   bool MayTry(SegmentHash segment, Hold& hold, bool owns_trial, TimePoint now);
   static Duration RetryAfter(const Hold& hold, TimePoint now);
   void AddReport(Report report, TimePoint now);
-  static void AddSegments(const std::vector<SegmentHash>& added,
-                          std::vector<SegmentHash>& segments);
   void ProlongHolds(const Report& report);
   void MakeRoom();
   // Reports by the end that they are about, in the order of the ends.
--- a/src/relay.h
+++ b/src/relay.h
@@ -202,8 +202,8 @@
   // Requests cut by what may be the end of an upstream.
   struct SuspectedEnd {
     TimePoint at{};
-    std::vector<std::string> segments;  // ids, without the last one of each prompt
-    std::vector<SegmentHash> hashes;    // of the same
+    std::vector<std::string> segments;  // ids, without the last one of each prompt; for the log
+    std::vector<SegmentHash> hashes;    // the most suspect segments of each request
   };
 
   void RefreshShares(TimePoint now);
--- a/src/relay_quarantine.cc
+++ b/src/relay_quarantine.cc
@@ -11,8 +11,13 @@
 namespace chiverail {
 namespace {
 
-// Prompt segments recorded for one end of an upstream.
-constexpr std::size_t kMaxSegmentsOfEnd = 32;
+// Prompt segments kept for one end of an upstream while it is checked, of one request and of all
+// that it cut.
+constexpr std::size_t kMaxSegmentsOfRequest = 64;
+constexpr std::size_t kMaxSegmentsOfEnd = 4096;
+
+// Prompt segments listed in the log line of an end.
+constexpr std::size_t kMaxSegmentsLogged = 32;
 
 }  // namespace
 
@@ -60,10 +65,16 @@
 void Relay::CheckEnded(const UpstreamState& upstream, const std::vector<PromptSegment>& segments) {
   const auto [end, added] = suspected_ends_.try_emplace(upstream.entry.id);
   std::vector<std::string>& ids = end->second.segments;
-  for (std::size_t i = 0; i + 1 < segments.size() && ids.size() < kMaxSegmentsOfEnd; ++i) {
+  for (std::size_t i = 0; i + 1 < segments.size() && ids.size() < kMaxSegmentsLogged; ++i) {
     if (std::count(ids.begin(), ids.end(), segments[i].id) == 0) {
       ids.push_back(segments[i].id);
-      end->second.hashes.push_back(SegmentHashOf(segments[i].id, upstream.entry.service));
+    }
+  }
+  std::vector<SegmentHash>& hashes = end->second.hashes;
+  for (const SegmentHash hash : quarantine_.MostSuspect(
+           SharedSegments(segments, upstream.entry.service), kMaxSegmentsOfRequest)) {
+    if (hashes.size() < kMaxSegmentsOfEnd) {
+      hashes.push_back(hash);
     }
   }
   if (!added) {
--- a/tests/quarantine_evidence_test.cc
+++ b/tests/quarantine_evidence_test.cc
@@ -19,6 +19,7 @@
 
 constexpr SegmentHash kDeadly = 666;
 constexpr SegmentHash kShared = 1;
+constexpr SegmentHash kFirstOther = 10'000;
 constexpr TimePoint kStart = TimePoint(seconds(1000));
 constexpr Duration kContact = seconds(3);
 
@@ -235,6 +236,83 @@
   CHECK(upstreams.sound_held() == 0);
 }
 
+// Guards against a deadly segment that is left out of a report because there are many others
+// (review/4, BUDGET).
+TEST_CASE("A deadly segment is found among many others") {
+  PromptQuarantine quarantine(7);
+  TimePoint now = kStart;
+  const int others = GENERATE(3, 33, 200, 1500);
+  const bool known = GENERATE(false, true);
+  Segments prompt;
+  for (int i = 0; i < others; ++i) {
+    prompt.push_back(kFirstOther + static_cast<SegmentHash>(i));
+  }
+  const Segments sound = prompt;
+  if (known) {
+    quarantine.OnBegun(sound, now);
+  }
+
+  SECTION("before it in the prompt") {
+    prompt.push_back(kDeadly);
+  }
+  SECTION("after it in the prompt") {
+    prompt.insert(prompt.begin(), kDeadly);
+  }
+  SECTION("of requests that were cut by the same end") {
+    Segments all;
+    for (int request = 0; request < 40; ++request) {
+      all.insert(all.end(), prompt.begin(), prompt.end());
+    }
+    all.push_back(kDeadly);
+    prompt = all;
+  }
+
+  for (std::uint32_t end = 0; end < 5; ++end) {
+    quarantine.OnUpstreamEnded(100 + end, prompt, now, now);
+    now += milliseconds(500);
+    // Sound requests share the other parts.
+    quarantine.OnBegun(sound, now);
+    now += milliseconds(500);
+    quarantine.Update(now);
+  }
+  now += seconds(1);
+  quarantine.Update(now);
+  CHECK(quarantine
+            .Check(
+                {kDeadly}, [](SegmentHash) { return false; }, now)
+            .held);
+  CHECK(quarantine.held() == 1);
+}
+
+// Guards against memory and messages that grow with the number of prompt parts.
+TEST_CASE("Evidence stays bounded with 100,000 prompt parts") {
+  PromptQuarantine quarantine(7);
+  TimePoint now = kStart;
+  constexpr SegmentHash kParts = 100'000;
+  std::size_t largest = 0;
+  for (SegmentHash part = 0; part < kParts; part += 50) {
+    Segments prompt;
+    for (SegmentHash i = 0; i < 50; ++i) {
+      prompt.push_back(kFirstOther + part + i);
+    }
+    quarantine.OnUpstreamEnded(static_cast<std::uint32_t>(part % 13), prompt, now, now);
+    now += milliseconds(50);
+    if (part % 3 == 0) {
+      quarantine.OnBegun(prompt, now);
+    }
+    if (part % 1000 == 0) {
+      quarantine.Update(now);
+      HubForward forward;
+      forward.quarantine = quarantine.News(now);
+      largest = std::max(largest, EncodeFleetMessage(forward).size());
+    }
+  }
+  CHECK(quarantine.reports() <= PromptQuarantine::kMaxReports);
+  CHECK(quarantine.held() <= PromptQuarantine::kMaxHolds);
+  // The buffer for a datagram has 16 KB.
+  CHECK(largest < 12 * 1024);
+}
+
 // Guards against evidence that is lost on its way: no instance sees two ends, and one that passes
 // reports on tells a part of them in each message.
 TEST_CASE("Instances that each see one end hold the segment together") {
