Take an answer for proof of a sound prompt only once it goes on

Cause: the first event, or the head of a plain answer, counted as proof that the prompt is sound. Change: an answer is proof once it has gone on for 0.3 s or has ended. An answer without a length looks complete if its worker ends, so under a part that was never answered a new connection to the worker decides. Answers that clear a part come up to 0.3 s later: the evidence is weighed 1 s after the last end, not 0.75 s.

--- a/src/prompt_quarantine.cc
+++ b/src/prompt_quarantine.cc
@@ -239,6 +239,11 @@
   return std::max<Duration>(hold.until() - now, kTrialTime);
 }
 
+bool PromptQuarantine::IsNew(const std::vector<SegmentHash>& segments) const {
+  return std::any_of(segments.begin(), segments.end(),
+                     [this](SegmentHash segment) { return LastBegun(segment) == TimePoint{}; });
+}
+
 bool PromptQuarantine::IsSuspect(const std::vector<SegmentHash>& segments) const {
   return std::any_of(segments.begin(), segments.end(), [&](SegmentHash segment) {
     return LastBegun(segment) == TimePoint{} &&
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -92,8 +92,8 @@
   // `self` is the InstanceKey of this instance.
   explicit PromptQuarantine(std::uint32_t self) : self_(self) {}
 
-  // Records that a request with these segments has begun to be answered, or that an operator
-  // declares them sound.
+  // Records that a request with these segments is being answered, beyond the first event of its
+  // answer, or that an operator declares them sound.
   void OnBegun(const std::vector<SegmentHash>& segments, TimePoint now);
 
   // Records that an upstream ended at `at`, before it began to answer a request with these
@@ -122,6 +122,9 @@
   // with it has ever been answered. Such a request should not be sent again.
   bool IsSuspect(const std::vector<SegmentHash>& segments) const;
 
+  // Returns whether one of these segments was never answered.
+  bool IsNew(const std::vector<SegmentHash>& segments) const;
+
   // Returns at most `limit` of these segments, in their order and each once: those under which most
   // upstreams have ended, then those that were never answered or not for the longest time, so that
   // segments of sound requests don't displace a deadly one.
@@ -151,7 +154,7 @@
 
   // The last one of these ends must be known for this long: answers that clear the segment may
   // still be on their way from other instances.
-  static constexpr Duration kSettleTime = milliseconds(750);
+  static constexpr Duration kSettleTime = milliseconds(1000);
 
   // Ends within this time of each other have one cause, such as the loss of a rack.
   static constexpr Duration kSameCause = milliseconds(60);
--- a/src/relay.h
+++ b/src/relay.h
@@ -152,9 +152,13 @@
   PromptQuarantine::Verdict CheckQuarantine(const std::vector<SegmentHash>& segments,
                                             TimePoint now);
 
-  // Checks whether an upstream has ended whose connection broke before it began to answer a request
-  // with these prompt segments. One check is made for all requests that it cuts.
-  void CheckEnded(const UpstreamState& upstream, const std::vector<PromptSegment>& segments);
+  // Checks whether an upstream has ended, since its connection broke before it had shown that it
+  // can answer a request with these prompt segments. `complete` tells that its answer looks
+  // complete; then the segments are sound if it has not ended. One check is made for all requests
+  // that an end cuts.
+  void CheckEnded(const UpstreamState& upstream,
+                  const std::vector<PromptSegment>& segments,
+                  bool complete);
 
   // Records a request of a caller for a service.
   void CountRequest(const std::string& service, TimePoint now);
@@ -204,6 +208,7 @@
     TimePoint at{};
     std::vector<std::string> segments;  // ids, without the last one of each prompt; for the log
     std::vector<SegmentHash> hashes;    // the most suspect segments of each request
+    std::vector<SegmentHash> answered;  // of requests whose answers look complete
   };
 
   void RefreshShares(TimePoint now);
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -269,7 +269,8 @@
   connection_ = relay_.pool().Take(upstream.entry.address,
                                    at_most_once ? kMaxIdleAtMostOnce : kMaxIdleIdempotent);
   phase_ = Phase::kAwaitingHead;
-  answer_begun_ = false;
+  answer_begun_at_ = {};
+  prompt_sound_ = false;
   sent_at_ = now;
   attempt_deadline_ = {};
   if (IsRetryable() && runs_ + 1 < route_->attempts) {
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -56,15 +56,18 @@
   void RelayBody(std::string_view bytes);
 
   // Has it checked whether the upstream of an attempt that broke has ended, if the attempt's
-  // request may be the cause: it has a prompt, and its answer had not begun.
+  // request may be the cause: it has a prompt, and its answer had not shown it to be sound.
   void CheckEnd(AttemptFailure failure);
 
   // Ends a failed attempt, then either retries the request or responds to the caller.
   void FailAttempt(AttemptFailure failure, const std::string& reason);
   // `runs` includes the attempt that has ended, if it may have run.
   bool MayRetry(AttemptFailure failure, int runs, TimePoint now) const;
-  // Called with the first event of a stream, and with the head of any other successful response.
-  void OnAnswerBegun();
+  // Called with each part of a successful answer. One that goes on after its begin shows that its
+  // prompt does not end upstreams; an upstream may end right after the first event.
+  void OnAnswerGoesOn();
+  // Called with the end of a successful answer.
+  void OnAnswerEnded();
   void RecordResponseEnd();
   // Why a response that ended regularly is not complete; empty if it is.
   std::string_view IncompleteReason() const;
@@ -120,7 +123,8 @@
   std::string buffer_;
   EventSplitter events_;
   bool events_relayed_ = false;
-  bool answer_begun_ = false;            // by the upstream of the current attempt
+  TimePoint answer_begun_at_{};          // by the upstream of the current attempt; zero if not
+  bool prompt_sound_ = false;            // shown by that answer
   std::uint64_t received_bytes_ = 0;     // body of the last response of an upstream
   std::uint64_t relayed_bytes_ = 0;      // body sent to the caller, from all attempts
   std::size_t partial_event_bytes_ = 0;  // of the last response, after its last complete event
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -17,6 +17,10 @@
 // Limit for one event of a stream. Events of engines have a few hundred bytes.
 constexpr std::size_t kMaxEventBytes = 256 * 1024;
 
+// An answer that goes on for this long after its begin shows that its prompt does not end
+// upstreams.
+constexpr Duration kSoundAfter = milliseconds(300);
+
 // Reading from the upstream pauses once more than this many bytes for the caller are unsent.
 constexpr std::size_t kMaxUnsentBytes = 128 * 1024;
 
@@ -92,22 +96,42 @@
     return;
   }
   if (success) {
-    OnAnswerBegun();
+    OnAnswerGoesOn();
   }
   phase_ = Phase::kBuffering;
 }
 
-void RelayCall::OnAnswerBegun() {
-  if (!std::exchange(answer_begun_, true)) {
+void RelayCall::OnAnswerGoesOn() {
+  const TimePoint now = BootTimeNow();
+  if (answer_begun_at_ == TimePoint{}) {
+    answer_begun_at_ = now;
+  }
+  if (!prompt_sound_ && answer_begun_at_ + kSoundAfter <= now) {
+    prompt_sound_ = true;
+    relay_.quarantine().OnBegun(shared_segments_, now);
+  }
+}
+
+// An answer without a length whose upstream ends looks complete, so a new prompt is sound only if
+// the upstream is still there.
+void RelayCall::OnAnswerEnded() {
+  if (std::exchange(prompt_sound_, true)) {
+    return;
+  }
+  const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
+  if (head_->framing == BodyFraming::kClose && upstream != nullptr &&
+      relay_.quarantine().IsNew(shared_segments_)) {
+    relay_.CheckEnded(*upstream, segments_, true);
+  } else {
     relay_.quarantine().OnBegun(shared_segments_, BootTimeNow());
   }
 }
 
 void RelayCall::CheckEnd(AttemptFailure failure) {
   const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
-  if (failure == AttemptFailure::kBroken && !answer_begun_ && segments_.size() > 1 &&
+  if (failure == AttemptFailure::kBroken && !prompt_sound_ && segments_.size() > 1 &&
       upstream != nullptr) {
-    relay_.CheckEnded(*upstream, segments_);
+    relay_.CheckEnded(*upstream, segments_, false);
   }
 }
 
@@ -128,7 +152,7 @@
       return;
     }
     if (!events.empty()) {
-      OnAnswerBegun();
+      OnAnswerGoesOn();
       StartRelaying(BodyFraming::kChunked);
       events_relayed_ = true;
       if (attempt_deadline_ != TimePoint{}) {
@@ -138,6 +162,9 @@
     }
     return;
   }
+  if (head_->status < 300) {
+    OnAnswerGoesOn();
+  }
   if (phase_ == Phase::kBuffering) {
     buffer_.append(body.bytes);
     if (buffer_.size() > kMaxBufferedResponse) {
@@ -195,6 +222,9 @@
     return;
   }
   const int status = head_->status;
+  if (answer_begun_at_ != TimePoint{}) {
+    OnAnswerEnded();
+  }
   const auto connection = std::exchange(connection_, nullptr);
   relay_.pool().Return(connection);
   const TimePoint now = BootTimeNow();
--- a/tests/deadly_part_test.cc
+++ b/tests/deadly_part_test.cc
@@ -8,7 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
-#include "relay_fixture.h"
+#include "raw_fixture.h"
 
 namespace chiverail {
 namespace {
@@ -125,4 +125,62 @@
   CHECK(fixture.Ended() == ended);
 }
 
+// Guards against a deadly part that is taken for sound because the upstream had written its first
+// event, or an answer that looks complete, before it ended.
+TEST_CASE("A prompt part under which upstreams end after the first event is kept from the others") {
+  RelayFixture fixture;
+  fixture.Configure();
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nAnswer-Seal: seal\r\n";
+  const std::string answer =
+      GENERATE_COPY(head + "\r\nid: 1\ndata: a\n\n",
+                    head + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n",
+                    head + "Content-Length: 400\r\n\r\nid: 1\ndata: a\n\nid: 2\nda");
+
+  constexpr int kUpstreams = 8;
+  std::vector<std::unique_ptr<RawServer>> upstreams(kUpstreams);
+  int ended = 0;
+  for (int i = 0; i < kUpstreams; ++i) {
+    const int port = RelayFixture::kPort + 40 + i;
+    upstreams[i] = std::make_unique<RawServer>(fixture.io, port, [&, i](RawServer& server, int) {
+      server.SendAndClose(answer);
+      boost::asio::post(fixture.io, [&, i] { upstreams[i].reset(); });
+      ++ended;
+    });
+    fixture.relay.upstreams().Apply(
+        EntryOf("up-" + std::to_string(i), "127.0.0.1:" + std::to_string(port)), BootTimeNow());
+  }
+  const auto ask = [&](int number) {
+    const CallerResponse response = fixture.SendAndWait(RelayFixture::Request(
+        "/chat/x", "Prompt-Parts: deadly,own-" + std::to_string(number) + "\r\n"));
+    for (int step = 0; step < 8; ++step) {
+      fixture.relay.Expire(BootTimeNow());
+      fixture.RunFor(milliseconds(50), [] { return false; });
+    }
+    return response.status;
+  };
+  for (int i = 0; i < 5; ++i) {
+    ask(i);
+  }
+  ask(5);
+  ask(6);
+  const int before = ended;
+  CHECK(before <= 6);
+  CHECK(ask(7) == 503);
+  CHECK(ended == before);
+}
+
+// Guards against sound parts that no longer count as sound: an answer without a length ends with
+// its connection also if the upstream goes on.
+TEST_CASE("A short answer that ends with its connection shows its prompt to be sound") {
+  RawFixture fixture([](RawServer& server, int) {
+    server.SendAndClose(
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nAnswer-Seal: seal\r\n\r\ndata: a\n\n");
+  });
+  const std::vector<SegmentHash> segments{SegmentHashOf("sound", "engines")};
+  CHECK(fixture.relay.quarantine().IsNew(segments));
+  CHECK(fixture.SendAndWait(RelayFixture::Request("/chat/x", "Prompt-Parts: sound,own\r\n"))
+            .complete);
+  CHECK(fixture.RunUntil([&] { return !fixture.relay.quarantine().IsNew(segments); }));
+}
+
 }  // namespace chiverail
