Pass on only requests that end before the deadline of a stop

Cause: "Connection: close" stands only in heads that are written after the signal; on a connection whose answer had begun before, the next request was taken at any time. Nothing compared the time that a request may take with the time that was left. Change: StopPlan. Others get 503 at once, true, naming other instances. At the deadline what runs gets 504 or a stream without its end, without a reset. A connection that closes lingers for the caller's side, answers pipelined requests first, and stays open 0.1 s after use. Tests before: gateway_test.py "no request on a kept connection is passed on and cut by a stop" fails with the former build.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -24,6 +24,10 @@
 // Delay after a failed accept: without free file descriptors accept would fail again immediately.
 constexpr Duration kAcceptRetry = milliseconds(50);
 
+// A stopping process closes a connection that has been idle for this long. A caller that sends its
+// next request at once is answered.
+constexpr Duration kMinIdleTime = milliseconds(100);
+
 std::string Hex(std::size_t value) {
   char digits[16];
   const auto end = std::to_chars(std::begin(digits), std::end(digits), value, 16).ptr;
@@ -172,7 +176,8 @@
                                      std::uint64_t length) {
   response_started_ = true;
   chunked_ = framing != BodyFraming::kLength;
-  closing_ = !keep_alive_ || listener_.closing();
+  // Requests that the caller has sent already are answered before the connection closes.
+  closing_ = !keep_alive_ || (listener_.closing() && read_buffer_.empty() && !io_.HasUnread());
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(reason.empty() ? DefaultReason(status) : reason).append("\r\n");
   for (const auto& [name, value] : fields) {
@@ -234,6 +239,22 @@
   io_.Reset();
 }
 
+void CallerConnection::EndIncomplete() {
+  on_disconnect_ = nullptr;
+  busy_ = false;
+  timer_.cancel();
+  io_.CloseWhenSent();
+}
+
+void CallerConnection::RefuseUnread(const std::vector<HttpHeader>& fields) {
+  if (!busy_ && parser_) {
+    busy_ = true;
+    keep_alive_ = false;
+    StartTimeout(TimeoutPhase::kNone);
+    Respond(503, {}, fields, {});
+  }
+}
+
 std::string CallerConnection::peer_host() {
   boost::system::error_code error;
   const tcp::endpoint endpoint = io_.socket().remote_endpoint(error);
@@ -244,12 +265,24 @@
   return busy_ || parser_ || io_.unsent() > 0 || io_.HasUnread();
 }
 
+bool CallerConnection::in_use() {
+  return io_.lingering() || has_unfinished_request() ||
+         (io_.open() && BootTimeNow() < idle_since_ + kMinIdleTime);
+}
+
 // A request whose bytes have arrived is answered, also if none of them was read so far.
 void CallerConnection::CloseIfIdle() {
-  if (!has_unfinished_request()) {
-    timer_.cancel();
-    io_.CloseWhenSent();
+  if (!io_.open() || io_.lingering() || has_unfinished_request()) {
+    return;
   }
+  const Duration left = idle_since_ + kMinIdleTime - BootTimeNow();
+  if (left > Duration::zero()) {
+    timeout_at_ = idle_since_ + kMinIdleTime;
+    ArmTimer(left);
+    return;
+  }
+  timer_.cancel();
+  io_.CloseWhenSent();
 }
 
 void CallerConnection::HandleDisconnect() {
@@ -265,6 +298,9 @@
 // that requests cause no timer operations.
 void CallerConnection::StartTimeout(TimeoutPhase phase) {
   timeout_phase_ = phase;
+  if (phase == TimeoutPhase::kIdle) {
+    idle_since_ = BootTimeNow();
+  }
   const CallerLimits& limits = listener_.limits();
   Duration timeout = limits.idle_timeout;
   if (phase == TimeoutPhase::kReadingHead) {
@@ -295,9 +331,13 @@
     }
     return;
   }
-  timer_pending_ = true;
   constexpr Duration kBusyCheck = seconds(1);
-  timer_.expires_after(timeout_phase_ == TimeoutPhase::kNone ? kBusyCheck : timeout_at_ - now);
+  ArmTimer(timeout_phase_ == TimeoutPhase::kNone ? kBusyCheck : timeout_at_ - now);
+}
+
+void CallerConnection::ArmTimer(Duration time) {
+  timer_pending_ = true;
+  timer_.expires_after(time);
   timer_.async_wait([self = weak_from_this()](const auto& error) {
     const auto connection = self.lock();
     if (connection && !error) {
@@ -378,6 +418,14 @@
   }
 }
 
+void HttpListener::RefuseUnread(const std::vector<HttpHeader>& fields) {
+  for (const auto& [key, weak] : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->RefuseUnread(fields);
+    }
+  }
+}
+
 std::size_t HttpListener::unfinished() const {
   std::size_t count = 0;
   for (const auto& [key, weak] : connections_) {
@@ -387,6 +435,15 @@
   return count;
 }
 
+std::size_t HttpListener::in_use() const {
+  std::size_t count = 0;
+  for (const auto& [key, weak] : connections_) {
+    const auto connection = weak.lock();
+    count += connection && connection->in_use() ? 1 : 0;
+  }
+  return count;
+}
+
 std::size_t HttpListener::busy() const {
   std::size_t count = 0;
   for (const auto& [key, weak] : connections_) {
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -62,6 +62,13 @@
   // Resets the connection, so that the caller can't take the response for complete.
   void Abort();
 
+  // Closes the connection within a response of which the caller keeps what was sent. The response
+  // does not look complete: its length or its last chunk is missing.
+  void EndIncomplete();
+
+  // Refuses a request that was received in part, because the process ends. Its connection closes.
+  void RefuseUnread(const std::vector<HttpHeader>& fields);
+
   // Calls `callback` if the caller disconnects before the response has ended. The callback is
   // cleared when the response ends.
   void OnDisconnect(std::function<void()> callback) { on_disconnect_ = std::move(callback); }
@@ -80,10 +87,14 @@
   // True while a request is being answered.
   bool busy() const { return busy_; }
 
-  // True while a request is received or answered, or bytes of one wait to be read or sent.
+  // True while a request is received or answered, or bytes wait to be read or sent.
   bool has_unfinished_request();
 
-  // Closes the connection unless it has an unfinished request.
+  // True until the connection has closed or is idle for long enough to be closed.
+  bool in_use();
+
+  // Closes the connection unless it has an unfinished request or was in use just now: the caller
+  // may be sending its next request.
   void CloseIfIdle();
 
  private:
@@ -98,6 +109,7 @@
   void HandleDisconnect();
   void StartTimeout(TimeoutPhase phase);
   void OnTimer();
+  void ArmTimer(Duration time);
 
   HttpListener& listener_;
   SocketIo io_;
@@ -106,6 +118,7 @@
   std::string read_buffer_;
   std::string body_;
   TimePoint first_byte_at_{};
+  TimePoint idle_since_{};
   TimePoint timeout_at_{};
   TimeoutPhase timeout_phase_ = TimeoutPhase::kNone;
   bool timer_pending_ = false;
@@ -139,12 +152,18 @@
   // Closes idle connections. Busy ones close after their response if StartClosing() was called.
   void CloseIdle();
 
+  // Refuses the requests that were received in part.
+  void RefuseUnread(const std::vector<HttpHeader>& fields);
+
   // Number of connections on which a request is being answered.
   std::size_t busy() const;
 
   // Number of connections with an unfinished request.
   std::size_t unfinished() const;
 
+  // Number of connections that are in use.
+  std::size_t in_use() const;
+
   const CallerLimits& limits() const { return limits_; }
   bool closing() const { return closing_; }
   boost::asio::io_context& io() { return io_; }
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -27,6 +27,9 @@
 // Interval at which a leaving process checks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
 
+// Time for the answers that end requests at the deadline of a stop to be sent.
+constexpr Duration kLastAnswersTime = milliseconds(300);
+
 RelayLimits RelayLimitsOf(const GatewaySettings& settings) {
   RelayLimits limits;
   limits.key_age = settings.MaxKeyAge();
@@ -325,6 +328,8 @@
   log_.Write(Decision::kStop,
              {{"outcome", "leaving"}, {"open_requests", caller_listener_->busy()}});
   caller_listener_->StartClosing();
+  relay_.BeginStop(leaving_since_ + settings_.drain_accept,
+                   leaving_since_ + settings_.DrainDeadline(), leaving_since_);
   SendToPeers(relay_.fleet().Announce(OwnInfo(), leaving_since_));
   if (on_leaving_) {
     on_leaving_();
@@ -332,17 +337,27 @@
   CheckLeaving();
 }
 
+// Requests are refused, passed on or ended by the StopPlan. Connections are accepted for a while,
+// since callers use the addresses that the directory gave them, and the last answers get some time
+// to reach their callers.
 void Gateway::CheckLeaving() {
-  const Duration passed = BootTimeNow() - leaving_since_;
-  const bool accepting = passed < settings_.drain_accept;
-  if (!accepting) {
+  const TimePoint now = BootTimeNow();
+  const Duration passed = now - leaving_since_;
+  relay_.RefuseWaiting(now);
+  if (passed >= settings_.drain_accept) {
     caller_listener_->Close();
-    const std::size_t unfinished = caller_listener_->unfinished();
-    if (unfinished == 0 || passed >= settings_.DrainDeadline()) {
-      log_.Write(Decision::kStop, {{"outcome", "left"}, {"cut_requests", unfinished}});
-      io_.stop();
-      return;
-    }
+  }
+  const bool over = passed >= settings_.DrainDeadline();
+  if (over && !std::exchange(calls_ended_, true)) {
+    cut_requests_ = relay_.EndCalls();
+    caller_listener_->RefuseUnread({{relay_.names().retry_after, "0.050"}});
+  }
+  const bool accepting = passed < settings_.drain_accept;
+  if (!accepting &&
+      (caller_listener_->in_use() == 0 || passed >= settings_.DrainDeadline() + kLastAnswersTime)) {
+    log_.Write(Decision::kStop, {{"outcome", "left"}, {"cut_requests", cut_requests_}});
+    io_.stop();
+    return;
   }
   leaving_timer_.expires_after(kLeavingCheck);
   leaving_timer_.async_wait([this](const auto& cancelled) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -116,6 +116,8 @@
   bool logged_hub_ = false;
   TimePoint leaving_since_{};
   bool ready_ = false;
+  bool calls_ended_ = false;  // at the deadline of the stop
+  std::size_t cut_requests_ = 0;
   bool leaving_ = false;
   int exit_code_ = 0;
 };
--- a/src/relay.h
+++ b/src/relay.h
@@ -26,6 +26,7 @@
 #include "sliding_window_retry_budget.h"
 #include "slot_queue.h"
 #include "slot_shares.h"
+#include "stop_plan.h"
 #include "upstream_choice.h"
 #include "upstream_connection.h"
 #include "upstream_set.h"
@@ -160,6 +161,26 @@
                   const std::vector<PromptSegment>& segments,
                   bool complete);
 
+  // Begins the stop of this instance, see StopPlan. Requests that wait and won't end in time are
+  // refused.
+  void BeginStop(TimePoint accept_until, TimePoint deadline, TimePoint now);
+
+  // Refuses the waiting requests that won't end in time. Called several times a second during a
+  // stop.
+  void RefuseWaiting(TimePoint now);
+
+  // Ends all requests, because the process ends. Returns their number.
+  std::size_t EndCalls();
+
+  // Addresses of other instances that accept requests, separated by commas; may be empty.
+  std::string OtherInstances() const;
+
+  StopPlan& stop_plan() { return stop_plan_; }
+
+  // Keeps track of the requests that are being served.
+  void AddCall(const std::shared_ptr<RelayCall>& call);
+  void RemoveCall(const RelayCall* call);
+
   // Records a request of a caller for a service.
   void CountRequest(const std::string& service, TimePoint now);
 
@@ -211,6 +232,7 @@
     std::vector<SegmentHash> answered;  // of requests whose answers look complete
   };
 
+  void ForEachCall(const std::function<void(RelayCall&)>& act);
   void RefreshShares(TimePoint now);
   void OnEndChecked(const UpstreamId& id, ConnectResult result);
   void LogQuarantineChanges();
@@ -250,6 +272,8 @@
   TimePoint shares_at_{};
   UpstreamPool pool_;
   std::map<UpstreamId, SuspectedEnd> suspected_ends_;  // that are being checked
+  StopPlan stop_plan_;
+  std::unordered_map<const RelayCall*, std::weak_ptr<RelayCall>> calls_;
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
   std::map<std::string, ServiceQueue> service_queues_;
   boost::asio::steady_timer queue_scan_timer_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -25,9 +25,6 @@
 constexpr Duration kMaxIdleAtMostOnce = milliseconds(800);
 constexpr Duration kMaxIdleIdempotent = seconds(10);
 
-// Retry-After value if this instance can't serve the request but others may.
-constexpr Duration kRetryElsewhere = milliseconds(50);
-
 std::optional<std::int64_t> WholeNumber(std::string_view text) {
   std::int64_t value = 0;
   const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -63,6 +60,7 @@
                       table_->config().low_priority_workspaces.count(workspace_) > 0);
   relay_.CountRequest(service_name_, now);
   caller_->OnDisconnect([self = shared_from_this()] { self->OnCallerDisconnected(); });
+  relay_.AddCall(shared_from_this());
   ArmTimer(deadline_);
   Place();
 }
@@ -142,7 +140,7 @@
     RespondWithFailure(AttemptFailure::kNotConnected);
     return;
   }
-  if (!PassesQuarantine(now)) {
+  if (!PassesStop(now) || !PassesQuarantine(now)) {
     return;
   }
   load_age_ = relay_.fleet().StateAge(now);
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -32,7 +32,19 @@
   void OnSlotFree();
   void OnQueueTimeout();
 
+  // Records how long this request has taken so far.
+  void RecordTime(TimePoint now) const;
+
+  // Refuses the request if it waits to be placed and this instance stops too soon for it.
+  void RefuseIfStopping(TimePoint now);
+
+  // Ends the request because this instance ends.
+  void EndAtStop();
+
  private:
+  // Retry-After value if this instance can't serve the request but others may.
+  static constexpr Duration kRetryElsewhere = milliseconds(50);
+
   enum class Phase : std::uint8_t { kPlacing, kAwaitingHead, kBuffering, kRelaying, kDone };
 
   bool Check(TimePoint now);
@@ -42,6 +54,8 @@
   void Place();
   // Refuses the request if its prompt is in quarantine.
   bool PassesQuarantine(TimePoint now);
+  // Refuses the request if this instance stops before its answer would have ended.
+  bool PassesStop(TimePoint now);
   void WaitForSlot(ChoiceOutcome outcome, TimePoint now);
   EnqueueResult Enqueue(TimePoint now);
   void Dequeue();
--- a/src/relay_finish.cc
+++ b/src/relay_finish.cc
@@ -99,11 +99,15 @@
 
 void RelayCall::Finish(std::string_view outcome, int status) {
   phase_ = Phase::kDone;
+  relay_.RemoveCall(this);
   Dequeue();
   timer_.cancel();
   caller_->OnDisconnect(nullptr);
   const TimePoint now = BootTimeNow();
   const bool failed = outcome != "answered";
+  if (sent_at_ != TimePoint{}) {
+    RecordTime(now);
+  }
   RecordMetrics(outcome, status, now);
   nlohmann::json line{
       {"request", id_},
--- /dev/null
+++ b/src/relay_stop.cc
@@ -0,0 +1,108 @@
+// Relay and RelayCall: what becomes of the requests of an instance that stops.
+
+#include <utility>
+
+#include "relay_call.h"
+
+namespace chiverail {
+namespace {
+
+// Other instances that a refusal names.
+constexpr std::size_t kMaxInstancesNamed = 3;
+
+}  // namespace
+
+void Relay::AddCall(const std::shared_ptr<RelayCall>& call) {
+  calls_[call.get()] = call;
+}
+
+void Relay::RemoveCall(const RelayCall* call) {
+  calls_.erase(call);
+}
+
+void Relay::ForEachCall(const std::function<void(RelayCall&)>& act) {
+  std::vector<std::shared_ptr<RelayCall>> calls;  // calls that end remove themselves
+  for (const auto& [key, weak] : calls_) {
+    if (auto call = weak.lock()) {
+      calls.push_back(std::move(call));
+    }
+  }
+  for (const auto& call : calls) {
+    act(*call);
+  }
+}
+
+void Relay::BeginStop(TimePoint accept_until, TimePoint deadline, TimePoint now) {
+  // Answers that are still running say how long those of their routes may take.
+  ForEachCall([&](const RelayCall& call) { call.RecordTime(now); });
+  stop_plan_.Begin(accept_until, deadline);
+  RefuseWaiting(now);
+}
+
+void Relay::RefuseWaiting(TimePoint now) {
+  ForEachCall([now](RelayCall& call) { call.RefuseIfStopping(now); });
+}
+
+std::size_t Relay::EndCalls() {
+  const std::size_t count = calls_.size();
+  ForEachCall([](RelayCall& call) { call.EndAtStop(); });
+  return count;
+}
+
+std::string Relay::OtherInstances() const {
+  std::string names;
+  std::size_t count = 0;
+  for (const DirectoryEntry& entry : fleet_.roster().CallerEntries()) {
+    if (entry.instance != fleet_.roster().self().instance && count++ < kMaxInstancesNamed) {
+      names.append(names.empty() ? "" : ", ").append(entry.address);
+    }
+  }
+  return names;
+}
+
+void RelayCall::RecordTime(TimePoint now) const {
+  relay_.stop_plan().OnAnswered(route_->name, now - request_.received, now);
+}
+
+bool RelayCall::PassesStop(TimePoint now) {
+  if (relay_.stop_plan().MayPassOn(route_->name, deadline_, now)) {
+    return true;
+  }
+  last_error_ = "this instance stops";
+  if (may_have_run_ || caller_->response_started()) {
+    RespondWithFailure(AttemptFailure::kBroken);
+    return false;
+  }
+  const std::string others = relay_.OtherInstances();
+  Refuse(503, others.empty() ? last_error_ : last_error_ + ": use " + others, kRetryElsewhere);
+  return false;
+}
+
+void RelayCall::RefuseIfStopping(TimePoint now) {
+  if (phase_ == Phase::kPlacing) {
+    PassesStop(now);
+  }
+}
+
+// The caller keeps what it has received of its answer: without a reset, the connection delivers
+// what was written, and the framing shows that the rest is missing.
+void RelayCall::EndAtStop() {
+  if (phase_ == Phase::kDone) {
+    return;
+  }
+  last_error_ = "this instance stops";
+  if (connection_) {
+    std::exchange(connection_, nullptr)->Close();
+    may_have_run_ = true;
+    ReleaseUpstream(false);
+  }
+  if (caller_->response_started()) {
+    caller_->EndIncomplete();
+    Finish("cut", 0);
+    return;
+  }
+  Refuse(FailureStatus(AttemptFailure::kTimeout, may_have_run_), last_error_,
+         may_have_run_ ? Duration::zero() : kRetryElsewhere);
+}
+
+}  // namespace chiverail
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -95,6 +95,10 @@
     Fail(error.message());
     return;
   }
+  if (linger_timer_) {
+    error ? Close() : WaitReadable();
+    return;
+  }
   const OnBytes on_bytes = on_bytes_;  // the callback may close this connection
   on_bytes(std::string_view(ReadBuffer().data(), error ? 0 : count));
   if (!error) {
@@ -141,7 +145,7 @@
       return;
     }
     if (close_when_sent_) {
-      Close();
+      Linger();
     } else if (on_drained_) {
       std::exchange(on_drained_, nullptr)();
     }
@@ -167,14 +171,36 @@
 void SocketIo::Close() {
   boost::system::error_code ignored;
   unsent_.clear();
+  if (linger_timer_) {
+    linger_timer_->cancel();
+  }
   socket_.close(ignored);
 }
 
 void SocketIo::CloseWhenSent() {
   close_when_sent_ = true;
   if (unsent_.empty()) {
+    Linger();
+  }
+}
+
+void SocketIo::Linger() {
+  if (linger_timer_ || !socket_.is_open()) {
+    return;
+  }
+  boost::system::error_code error;
+  socket_.shutdown(tcp::socket::shutdown_send, error);
+  if (error) {
     Close();
+    return;
   }
+  linger_timer_.emplace(socket_.get_executor(), kLingerTime);
+  linger_timer_->async_wait([this, owner = owner_.lock()](const auto& cancelled) {
+    if (!cancelled) {
+      Close();
+    }
+  });
+  ResumeReading();
 }
 
 void SocketIo::Reset() {
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "types.h"
 
@@ -50,9 +52,14 @@
   // unread.
   void Close();
 
-  // Closes the socket once all queued bytes have been sent.
+  // Closes the socket once all queued bytes have been sent and the peer has closed its side, or has
+  // had kLingerTime for that. What it sends meanwhile is dropped: a socket that is closed with
+  // unread bytes is reset, and the peer may lose what it has not read yet.
   void CloseWhenSent();
 
+  // True while the socket waits for the peer to close its side.
+  bool lingering() const { return linger_timer_.has_value() && socket_.is_open(); }
+
   // Closes the socket with a reset, so that the peer cannot take what it received for complete.
   void Reset();
 
@@ -64,6 +71,9 @@
   boost::asio::ip::tcp::socket& socket() { return socket_; }
 
  private:
+  static constexpr Duration kLingerTime = seconds(1);
+
+  void Linger();
   void WaitReadable();
   void ReadAvailable();
   void WaitWritable();
@@ -75,6 +85,7 @@
   OnError on_error_;
   std::function<void()> on_drained_;
   std::string unsent_;
+  std::optional<boost::asio::steady_timer> linger_timer_;
   bool paused_ = false;
   bool close_when_sent_ = false;
   bool waiting_to_read_ = false;
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -3,6 +3,7 @@
 
 Usage: gateway_test.py BUILD_DIR
 """
+import http.client
 import json
 import os
 import signal
@@ -16,6 +17,44 @@
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
 
 
+class KeptCaller(threading.Thread):
+    """Sends requests on one connection until the gateway closes it, then on a new one, until the process has
+    ended."""
+
+    def __init__(self, gateway, path):
+        super().__init__()
+        self.gateway = gateway
+        self.path = path
+        self.outcomes = []  # request id, and status or "cut"
+
+    def run(self):
+        while self.gateway.process.poll() is None:
+            connection = http.client.HTTPConnection("127.0.0.1", self.gateway.front, timeout=WAIT_S)
+            try:
+                connection.connect()
+            except OSError:
+                time.sleep(0.05)
+                continue
+            while self.send(connection):
+                pass
+            connection.close()
+
+    def send(self, connection):
+        """Returns whether the connection stays open."""
+        request_id = os.urandom(8).hex()
+        try:
+            connection.request("POST", self.path, body=b"body", headers={
+                "Host": "h.example", "X-Request-Id": request_id, "X-Deadline-Ms": "8000", "X-Credential": "k-1"})
+            response = connection.getresponse()
+            response.read()
+        except (OSError, http.client.HTTPException):
+            self.outcomes.append((request_id, "cut"))
+            return False
+        self.outcomes.append((request_id, response.status))
+        time.sleep(0.02)
+        return not response.will_close
+
+
 class GatewayTest(unittest.TestCase):
     def setUp(self):
         self.store = Store()
@@ -99,6 +138,31 @@
         self.assertEqual(responses[0][1].count(b"data: x"), 20)
         self.assertEqual(gateway.process.wait(WAIT_S), 0)
 
+    def test_no_request_on_a_kept_connection_is_passed_on_and_cut_by_a_stop(self):
+        # LOST: streams that callers sent on kept connections late in the grace were passed on and cut at its end.
+        self.worker = Worker(event_pause_s=0.25, events=20)
+        self.store.put("servers", "i-1", self.entry("ready"))
+        gateway = self.start_serving()
+        callers = [KeptCaller(gateway, "/stream/x" if number % 3 else "/book/x") for number in range(30)]
+        for caller in callers:
+            caller.start()
+            time.sleep(5 / len(callers))
+        gateway.process.send_signal(signal.SIGTERM)
+        for version in range(3, 8):  # reloads and changes of the configuration come in between
+            time.sleep(0.6)
+            gateway.process.send_signal(signal.SIGHUP)
+            self.store.put("op", "config", config(version))
+        self.assertEqual(gateway.process.wait(WAIT_S), 0)
+        for caller in callers:
+            caller.join()
+        ran = {fields["X-Request-Id"] for fields in self.worker.received}
+        outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+        self.assertEqual([one for one in outcomes if one[1] == "cut" and one[0] in ran], [])
+        self.assertEqual([one for one in outcomes if one[1] == 503 and one[0] in ran], [])
+        self.assertEqual({one[1] for one in outcomes} - {200, 503, "cut"}, set())
+        self.assertTrue(any(one[1] == 503 for one in outcomes))
+        self.assertTrue(any(line.get("outcome") == "left" and line["cut_requests"] == 0 for line in gateway.lines()))
+
     def test_changes_of_upstreams_configuration_and_store_are_logged(self):
         gateway = self.start_serving()
         self.store.put("servers", "i-1", self.entry("draining"))
