Fail an answer that contains a late copy of an earlier one

Cause, reproduced with a server that does so (that it is the users' case is not shown): a copy that comes within the next answer on its connection is taken for a part of its body if that answer has a length or ends with its connection. Only copies between answers were told, by their id. Change: a connection remembers the ids of its last four requests; a body in which the head of an answer to one of them begins ends the attempt as broken. Nothing of the copy is passed on.

--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -285,7 +285,7 @@
       [names = &relay_.names(), id = id_](const MessageHead& head) {
         return head.Field(names->request_id) == id || head.Field(names->request_id).empty();
       },
-      [self = shared_from_this()](ResponseEvent event) { self->OnEvent(std::move(event)); });
+      [self = shared_from_this()](ResponseEvent event) { self->OnEvent(std::move(event)); }, id_);
 }
 
 UpstreamFields RelayCall::FieldsFor(const UpstreamState& upstream, TimePoint now) const {
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -60,7 +60,9 @@
 void UpstreamConnection::Start(std::string request,
                                bool head_request,
                                MatchesRequest matches_request,
-                               Handler handler) {
+                               Handler handler,
+                               const std::string& request_id) {
+  mixed_answers_.Begin(request_id);
   request_ = std::move(request);
   head_request_ = head_request;
   matches_request_ = std::move(matches_request);
@@ -184,12 +186,20 @@
     }
     std::string body = parser_->TakeBody();
     if (active_ && !skipping_response_ && !body.empty()) {
+      if (mixed_answers_.Add(body)) {
+        Fail("the upstream sent an earlier answer within this one");
+        return;
+      }
       Emit(ResponseBody{std::move(body)});
     }
     if (!parser_ || !parser_->complete()) {
       return;
     }
     if (!skipping_response_) {
+      if (mixed_answers_.EndsWith(read_buffer_)) {
+        Fail("the upstream sent an earlier answer within this one");
+        return;
+      }
       Finish();
       return;
     }
--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "http_message.h"
+#include "mixed_answers.h"
 #include "socket_io.h"
 
 namespace chiverail {
@@ -49,10 +50,12 @@
 
   // Opens the connection if necessary and sends a request. `handler` receives the events in order
   // until ResponseEnd or ExchangeError; it is not called after Close().
+  // `request_id` is what a late copy of the answer could be told by; empty if there is nothing.
   void Start(std::string request,
              bool head_request,
              MatchesRequest matches_request,
-             Handler handler);
+             Handler handler,
+             const std::string& request_id = {});
 
   // Resets the connection, so that the upstream stops working on the request immediately.
   void Close();
@@ -101,6 +104,7 @@
   int interim_responses_ = 0;
   int responses_ = 0;               // complete ones
   bool skipping_response_ = false;  // the current response belongs to another request
+  MixedAnswers mixed_answers_;
   bool reusable_ = false;
   TimePoint idle_since_{};
   std::optional<Duration> keep_alive_;
