--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -163,6 +163,34 @@
         self.assertTrue(any(one[1] == 503 for one in outcomes))
         self.assertTrue(any(line.get("outcome") == "left" and line["cut_requests"] == 0 for line in gateway.lines()))
 
+    def test_odd_entries_of_another_writer_do_not_stop_an_instance_from_following_the_list(self):
+        # Report of another operator: one odd entry ended the machines that read it, or stopped them following.
+        gateway = self.start_serving()
+        sound = self.entry("ready")
+        odd = [b"[" * 500_000 + b"]" * 500_000, b"{\"a\":" * 100_000 + b"1" + b"}" * 100_000,
+               json.dumps(sound).replace("8,", "1e999,").encode(),
+               json.dumps(dict(sound, slots=10 ** 30)).encode(), json.dumps(dict(sound, born=1.5e300)).encode(),
+               json.dumps(dict(sound, cold_remaining_ms=1e308)).encode(),
+               json.dumps(dict(sound, address="127.0.0.1:99999")).encode(),
+               json.dumps(dict(sound, address="127.0.0.1:0")).encode(),
+               json.dumps(dict(sound, address="::1")).encode(), b"", b"\xff\xfe", b"null", b"1e999"]
+        for number, value in enumerate(odd):
+            self.store.put("servers", "odd-%d" % number, value)
+            self.store.put("servers", "i-1", value if number % 2 else sound)
+            self.store.put("chiverail-instances", "odd-%d" % number, value)
+            self.store.put("chiverail-instances", "port-%d" % number, b"127.0.0.1:99999")
+            self.store.put("op", "evacuate/odd-%d" % number, value)
+        late = Worker()
+        self.store.put("servers", "i-2", dict(sound, address=late.address))
+        self.store.put("servers", "i-1", self.entry("draining"))
+        wait_until(lambda: gateway.send_request("/book/x")[0] == 200 and late.received, "the worker added last is used")
+        other = self.start(seeds="127.0.0.1:%d" % gateway.peer)  # reads the list as a whole
+        wait_until(other.is_ready, "ready")
+        self.assertEqual(other.send_request("/book/x")[0], 200)
+        for one in (gateway, other):
+            self.assertIsNone(one.process.poll())
+            self.assertLess(one.peak_kb(), 112 * 1024)
+
     def test_changes_of_upstreams_configuration_and_store_are_logged(self):
         gateway = self.start_serving()
         self.store.put("servers", "i-1", self.entry("draining"))
--- a/tests/platform_decoders_test.cc
+++ b/tests/platform_decoders_test.cc
@@ -133,6 +133,57 @@
     CHECK_FALSE(DecodeUpstream("i-1", "\xff\xfe"));
     CHECK_FALSE(DecodeUpstream("i-1", "[]"));
   }
+
+  // Guards against numbers that become any others when they are converted (reports of other
+  // operators, review/3): a port, slots, or a start that makes all later entries look old.
+  SECTION("entries with a number of another type or size are ignored") {
+    const auto with = [](const char* field, const std::string& number) {
+      std::string text = ReadyEntry().dump();
+      const std::string name = "\"" + std::string(field) + "\":";
+      const std::size_t begin = text.find(name) + name.size();
+      return text.replace(begin, text.find_first_of(",}", begin) - begin, number);
+    };
+    for (const char* slots :
+         {"0", "-1", "64.5", "99999999999", "18446744073709551615", "1e300", "1e999", "true"}) {
+      CHECK_FALSE(DecodeUpstream("i-1", with("slots", slots)));
+    }
+    for (const char* born : {"1700000000123.5", "1.7e12", "-1", "18446744073709551615", "1e300",
+                             "\"1700000000123\"", "null"}) {
+      CHECK_FALSE(DecodeUpstream("i-1", with("born", born)));
+    }
+    for (const char* cold : {"1e300", "1e999", "\"0\"", "999999999999999999"}) {
+      CHECK_FALSE(DecodeUpstream("i-1", with("cold_remaining_ms", cold)));
+    }
+    for (const char* port :
+         {"0", "65536", "99999", "80800", "-1", "8080x", "", "1e3", "18446744073709559696"}) {
+      json address = ReadyEntry();
+      address["address"] = "10.0.0.9:" + std::string(port);
+      CHECK_FALSE(DecodeUpstream("i-1", address.dump()));
+    }
+    CHECK(DecodeUpstream("i-1", with("cold_remaining_ms", "-5"))->cold_remaining == Duration{});
+    CHECK(DecodeUpstream("i-1", with("sequence", "1e300")));
+  }
+
+  // Guards against a stack or memory that runs out on a row of another writer.
+  SECTION("entries that are deeply nested do no harm") {
+    const std::size_t depth = 2'000'000;
+    const std::string lists = std::string(depth, '[') + std::string(depth, ']');
+    std::string objects;
+    for (int i = 0; i < 300'000; ++i) {
+      objects += "{\"a\":";
+    }
+    objects += "1" + std::string(300'000, '}');
+    for (const std::string& nested : {lists, objects}) {
+      CHECK_FALSE(DecodeUpstream("i-1", nested));
+      CHECK_FALSE(DecodeUpstream("i-1", nested.substr(0, nested.size() / 2)));
+      std::string extra = ReadyEntry().dump();
+      extra.insert(1, "\"new\":" + nested + ",");
+      CHECK(DecodeUpstream("i-1", extra));
+      std::string slots = ReadyEntry().dump();
+      slots.insert(1, "\"slots\":" + nested + ",");
+      CHECK(DecodeUpstream("i-1", slots));  // the last value of a field counts
+    }
+  }
 }
 
 TEST_CASE("Responses of the store are decoded") {
