Refuse streams and calls that may not be repeated from SIGTERM on

Cause: they were taken by the longest answer of their route. An instance that had started a few seconds before knew short ones only, and a stream may always be longer than those before it. Change: a request is passed on during a stop only if its own deadline is earlier.

--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -97,10 +97,8 @@
        "frequent."},
       {"drain_accept_ms", DurationRow{&S::drain_accept, 0, 600'000, 2500},
        "Time after SIGTERM for which a stopping instance accepts connections, and passes on "
-       "requests "
-       "whose route's longest answer of the last one to two minutes, and a quarter more, ends "
-       "before "
-       "the deadline of the stop."},
+       "requests that may be repeated if their route's longest answer of the last one to two "
+       "minutes, and a quarter more, ends before the deadline of the stop."},
       {"stop_grace_s", NumberRow{&S::stop_grace_s, 1, 3600, 8},
        "Seconds after SIGTERM at which the process is killed. The deadline of a stop is 0.9 s "
        "earlier: what still runs then is answered as failed, or broken off if its answer has "
--- a/src/relay_stop.cc
+++ b/src/relay_stop.cc
@@ -65,7 +65,9 @@
 }
 
 bool RelayCall::PassesStop(TimePoint now) {
-  if (relay_.stop_plan().MayPassOn(route_->name, deadline_, now)) {
+  // A stream is as long as its caller wants, and has begun when it is cut.
+  const bool repeatable = route_->kind == WorkKind::kIdempotent;
+  if (relay_.stop_plan().MayPassOn(route_->name, repeatable, deadline_, now)) {
     return true;
   }
   last_error_ = "this instance stops";
--- a/src/stop_plan.cc
+++ b/src/stop_plan.cc
@@ -38,12 +38,13 @@
 }
 
 bool StopPlan::MayPassOn(const std::string& route,
+                         bool repeatable,
                          TimePoint request_deadline,
                          TimePoint now) const {
   if (!stopping() || request_deadline <= deadline_) {
     return true;
   }
-  if (accept_until_ <= now) {
+  if (!repeatable || accept_until_ <= now) {
     return false;
   }
   const std::optional<Duration> longest = Longest(route);
--- a/src/stop_plan.h
+++ b/src/stop_plan.h
@@ -19,8 +19,8 @@
   // Records how long a request of a route took, from its arrival to the end of its answer.
   void OnAnswered(const std::string& route, Duration took, TimePoint now);
 
-  // Begins the stop. Until `accept_until`, when all callers have heard of it, requests are taken by
-  // the times of their routes.
+  // Begins the stop. Until `accept_until`, when all callers have heard of it, repeatable requests
+  // are taken by the times of their routes.
   void Begin(TimePoint accept_until, TimePoint deadline);
 
   bool stopping() const { return deadline_ != TimePoint{}; }
@@ -29,8 +29,11 @@
   TimePoint deadline() const { return deadline_; }
 
   // Returns whether a request may be passed on to an upstream now. `request_deadline` is the time
-  // at which it ends at the latest.
-  bool MayPassOn(const std::string& route, TimePoint request_deadline, TimePoint now) const;
+  // at which it ends at the latest; `repeatable` tells that it may be cut and sent again.
+  bool MayPassOn(const std::string& route,
+                 bool repeatable,
+                 TimePoint request_deadline,
+                 TimePoint now) const;
 
   // Longest answer of a route within the last kMemory to 2 x kMemory; nothing if there was none.
   std::optional<Duration> Longest(const std::string& route) const;
