--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -321,7 +321,9 @@
   }
   const TimePoint now = BootTimeNow();
   if (timeout_phase_ != TimeoutPhase::kNone && timeout_at_ <= now) {
-    if (timeout_phase_ == TimeoutPhase::kIdle) {
+    if (timeout_phase_ == TimeoutPhase::kIdle && io_.HasUnread()) {
+      ArmTimer(kMinIdleTime);  // its next request has come in time
+    } else if (timeout_phase_ == TimeoutPhase::kIdle) {
       // A caller that does not read its response has had the idle time for it.
       io_.unsent() > 0 ? io_.Reset() : io_.CloseWhenSent();
     } else {
--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -240,9 +240,18 @@
   return json::array({timing.sent_ms, timing.echo_key, timing.echo_ms, timing.held_ms});
 }
 
+// Larger values could overflow when they are converted.
+std::uint64_t ClockFrom(const json& value) {
+  constexpr std::uint64_t kMaxClockMs = 1'000'000'000'000;
+  const auto clock_ms = value.get<std::uint64_t>();
+  if (clock_ms > kMaxClockMs) {
+    throw MalformedMessage("clock out of range");
+  }
+  return clock_ms;
+}
+
 MessageTiming TimingFrom(const json& list) {
-  return {list.at(0).get<std::uint64_t>(), TagFrom(list.at(1)), list.at(2).get<std::uint64_t>(),
-          list.at(3).get<std::uint64_t>()};
+  return {ClockFrom(list.at(0)), TagFrom(list.at(1)), ClockFrom(list.at(2)), ClockFrom(list.at(3))};
 }
 
 // One number for each tag, in the order of the tags. Numbers below 128 take one byte.
--- a/src/mixed_answers.cc
+++ b/src/mixed_answers.cc
@@ -13,7 +13,7 @@
       earlier_ids_.erase(earlier_ids_.begin());
     }
   }
-  tail_.clear();
+  End();
 }
 
 bool MixedAnswers::Contains(std::string_view text, std::size_t begin_before) const {
--- a/src/mixed_answers.h
+++ b/src/mixed_answers.h
@@ -15,6 +15,9 @@
   // Starts with the body of the answer to the next request on the connection.
   void Begin(std::string request_id);
 
+  // Ends the body, and frees its memory.
+  void End() { std::string().swap(tail_); }
+
   // Returns whether the body contains the head of an earlier answer, now that `bytes` have been
   // added to it.
   bool Add(std::string_view bytes);
--- a/src/relay_stop.cc
+++ b/src/relay_stop.cc
@@ -10,6 +10,8 @@
 // Other instances that a refusal names.
 constexpr std::size_t kMaxInstancesNamed = 3;
 
+constexpr const char* kStops = "this instance stops";
+
 }  // namespace
 
 void Relay::AddCall(const std::shared_ptr<RelayCall>& call) {
@@ -70,13 +72,13 @@
   if (relay_.stop_plan().MayPassOn(route_->name, repeatable, deadline_, now)) {
     return true;
   }
-  last_error_ = "this instance stops";
+  last_error_ = kStops;
   if (may_have_run_ || caller_->response_started()) {
     RespondWithFailure(AttemptFailure::kBroken);
     return false;
   }
   const std::string others = relay_.OtherInstances();
-  Refuse(503, others.empty() ? last_error_ : last_error_ + ": use " + others, kRetryElsewhere);
+  Refuse(503, others.empty() ? kStops : std::string(kStops) + ": use " + others, kRetryElsewhere);
   return false;
 }
 
@@ -92,7 +94,7 @@
   if (phase_ == Phase::kDone) {
     return;
   }
-  last_error_ = "this instance stops";
+  last_error_ = kStops;
   if (connection_) {
     std::exchange(connection_, nullptr)->Close();
     may_have_run_ = true;
@@ -103,7 +105,7 @@
     Finish("cut", 0);
     return;
   }
-  Refuse(FailureStatus(AttemptFailure::kTimeout, may_have_run_), last_error_,
+  Refuse(FailureStatus(AttemptFailure::kTimeout, may_have_run_), kStops,
          may_have_run_ ? Duration::zero() : kRetryElsewhere);
 }
 
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -211,6 +211,7 @@
   reusable_ =
       parser_->head().keep_alive && read_buffer_.empty() && io_->unsent() == 0 && io_->open();
   ++responses_;
+  mixed_answers_.End();
   parser_.reset();
   read_buffer_.shrink_to_fit();
   idle_since_ = BootTimeNow();
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -174,6 +174,9 @@
     CHECK(ReasonFor(EncodeFleetMessage(summary)) == DropReason::kMalformed);
     summary.age = -seconds(5);
     CHECK(ReasonFor(EncodeFleetMessage(summary)) == DropReason::kMalformed);
+    HubSummary clocks = Summary();
+    clocks.timing.echo_ms = UINT64_MAX / 2;
+    CHECK(ReasonFor(EncodeFleetMessage(clocks)) == DropReason::kMalformed);
   }
   SECTION("rows from a source that is no address") {
     HubForward forward;
