Log when a request of a stopping instance ended, and how long its upstream was silent

Change: lines of failed requests have silent_ms (since the last byte of the upstream) and unsent_bytes, all after SIGTERM stopping_ms; metric chiverail_stop_requests_total by outcome. No decision is changed.

--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -79,6 +79,8 @@
      "Upstreams whose connections broke before an answer had begun, by what a new one showed."},
     {Counter::kMalformedTerms, "chiverail_malformed_terms_total", "",
      "Answers of upstreams with a request limit or a rest that can't be read."},
+    {Counter::kStopRequests, "chiverail_stop_requests_total", "outcome",
+     "Requests of the gateway that ended after SIGTERM."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -43,6 +43,7 @@
   kStreamsEndedInsideEvent,
   kBrokenUpstreams,
   kMalformedTerms,
+  kStopRequests,
 };
 
 // Gauges; each shows the last value set.
--- a/src/relay.h
+++ b/src/relay.h
@@ -177,6 +177,9 @@
 
   StopPlan& stop_plan() { return stop_plan_; }
 
+  // Time of SIGTERM; zero if the instance is not stopping.
+  TimePoint stop_began_at() const { return stop_began_at_; }
+
   // Keeps track of the requests that are being served.
   void AddCall(const std::shared_ptr<RelayCall>& call);
   void RemoveCall(const RelayCall* call);
@@ -273,6 +276,7 @@
   UpstreamPool pool_;
   std::map<UpstreamId, SuspectedEnd> suspected_ends_;  // that are being checked
   StopPlan stop_plan_;
+  TimePoint stop_began_at_{};
   std::unordered_map<const RelayCall*, std::weak_ptr<RelayCall>> calls_;
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
   std::map<std::string, ServiceQueue> service_queues_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -270,6 +270,7 @@
   answer_begun_at_ = {};
   prompt_sound_ = false;
   sent_at_ = now;
+  heard_at_ = {};
   attempt_deadline_ = {};
   if (IsRetryable() && runs_ + 1 < route_->attempts) {
     const Duration time_share =
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -133,6 +133,7 @@
   TimePoint sent_at_{};
   TimePoint attempt_deadline_{};  // when the attempt times out; zero for no timeout
   TimePoint first_byte_at_{};
+  TimePoint heard_at_{};  // last byte of a response from the upstream of the current attempt
   std::optional<MessageHead> head_;
   std::string buffer_;
   EventSplitter events_;
@@ -141,6 +142,7 @@
   bool prompt_sound_ = false;            // shown by that answer
   std::uint64_t received_bytes_ = 0;     // body of the last response of an upstream
   std::uint64_t relayed_bytes_ = 0;      // body sent to the caller, from all attempts
+  std::size_t unsent_bytes_ = 0;         // of a response that was cut, not taken by the connection
   std::size_t partial_event_bytes_ = 0;  // of the last response, after its last complete event
   int load_at_send_ = 0;
   std::optional<Duration> load_age_;  // of the other instances' part of it
--- a/src/relay_finish.cc
+++ b/src/relay_finish.cc
@@ -1,5 +1,6 @@
 // RelayCall: the end of a request, with its refusals, metrics and log line.
 
+#include <algorithm>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -36,6 +37,7 @@
 
 void RelayCall::RespondWithFailure(AttemptFailure failure) {
   if (caller_->response_started()) {
+    unsent_bytes_ = caller_->unsent();
     caller_->Abort();
     Finish("cut", 0);
     return;
@@ -147,6 +149,14 @@
   if (failed || !last_error_.empty()) {
     line["why"] = last_error_;
   }
+  if (failed && sent_at_ != TimePoint{}) {
+    line["silent_ms"] = Milliseconds(now - std::max(sent_at_, heard_at_));
+    line["unsent_bytes"] = unsent_bytes_;
+  }
+  if (relay_.stop_began_at() != TimePoint{}) {
+    line["stopping_ms"] = Milliseconds(now - relay_.stop_began_at());
+    relay_.metrics().Add(Counter::kStopRequests, 1, std::string(outcome));
+  }
   relay_.log().Write(Decision::kRequest, line);
 }
 
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -53,6 +53,7 @@
 }
 
 void RelayCall::OnHead(ResponseHead response) {
+  heard_at_ = BootTimeNow();
   if (UpstreamState* upstream = relay_.upstreams().Find(upstream_id_)) {
     relay_.upstreams().OnBytesReceived(*upstream);
   }
@@ -144,6 +145,7 @@
 }
 
 void RelayCall::OnBody(ResponseBody body) {
+  heard_at_ = BootTimeNow();
   received_bytes_ += body.bytes.size();
   if (route_->kind == WorkKind::kStream && phase_ == Phase::kRelaying) {
     const std::string events = events_.Feed(body.bytes);
--- a/src/relay_stop.cc
+++ b/src/relay_stop.cc
@@ -38,6 +38,7 @@
   // Answers that are still running say how long those of their routes may take.
   ForEachCall([&](const RelayCall& call) { call.RecordTime(now); });
   stop_plan_.Begin(accept_until, deadline);
+  stop_began_at_ = now;
   RefuseWaiting(now);
 }
 
@@ -101,6 +102,7 @@
     ReleaseUpstream(false);
   }
   if (caller_->response_started()) {
+    unsent_bytes_ = caller_->unsent();
     caller_->EndIncomplete();
     Finish("cut", 0);
     return;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -138,8 +138,8 @@
     return limits;
   }
 
-  // Applies the test's configuration.
-  void Configure() {
+  // Applies the test's configuration. `timeout` is that of the routes.
+  void Configure(Duration timeout = milliseconds(700)) {
     RoutingConfig config;
     config.version = 3;
     config.keys_required = true;
@@ -149,6 +149,9 @@
                      MakeRoute("/book/", WorkKind::kAtMostOnce, 1),
                      MakeRoute("/chat/", WorkKind::kStream, 2)};
     config.routes.back().resumable = true;
+    for (Route& route : config.routes) {
+      route.timeout = timeout;
+    }
     relay.Apply(std::move(config));
     relay.OnConfigConfirmed(BootTimeNow());
   }
@@ -238,7 +241,6 @@
     route.prefix = prefix;
     route.kind = kind;
     route.attempts = attempts;
-    route.timeout = milliseconds(700);
     route.objective = milliseconds(200);
     route.targets = {{"engines", 1}};
     return route;
