Pass on an upstream's failure unless another attempt can be made

Cause: the same as that of the reset streams: what is there is given up before it is known that what replaces it can be had. Change: the answer is dropped only if the request can be sent elsewhere at once (CanBeSentElsewhere). The first case of that file had kept its tag of a known red test and did not run with the others; it has lost it.

--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -231,8 +231,7 @@
   relay_.pool().Return(connection);
   const TimePoint now = BootTimeNow();
   const bool retry = phase_ == Phase::kBuffering && status >= 500 && IsRetryable() &&
-                     MayRetry(AttemptFailure::kErrorResponse, runs_ + 1, now) &&
-                     relay_.MayRetry(service_name_, now);
+                     CanBeSentElsewhere(AttemptFailure::kErrorResponse, now);
   if (retry) {
     FailAttempt(AttemptFailure::kErrorResponse, std::to_string(status));
     return;
--- a/tests/silent_upstream_test.cc
+++ b/tests/silent_upstream_test.cc
@@ -1,5 +1,9 @@
 // What becomes of a request whose upstream is silent for longer than an attempt may be.
 
+#include <functional>
+#include <memory>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "relay_fixture.h"
@@ -71,7 +75,7 @@
 }  // namespace
 
 // Guards against running work that is given up for an attempt that can't be made (LOST).
-TEST_CASE("A request stays with a silent upstream unless another one can take it", "[.known-red]") {
+TEST_CASE("A request stays with a silent upstream unless another one can take it") {
   const std::string path = GENERATE("/chat/x", "/read/x");
   SilentFixture fixture;
   CallerResponse response;
@@ -149,4 +153,43 @@
   CHECK(other.requests().size() == 1);
 }
 
+// Guards against answers of upstreams that are replaced by a refusal.
+TEST_CASE(
+    "A failure that an upstream answers is passed on unless another one can take the request") {
+  const std::string path = GENERATE("/chat/x", "/read/x");
+  RelayFixture fixture;
+  fixture.Configure(seconds(5));
+  fixture.relay.stop_plan().OnAnswered(path.substr(0, 6), seconds(4), BootTimeNow());
+  std::function<void()> fail;
+  fixture.AddUpstream("up-1", [&](const auto& caller, const CallerRequest& request) {
+    fail = [caller, request] {
+      caller->Respond(500, {}, FakeUpstream::SealFields(request), "failure of the upstream");
+    };
+  });
+  CallerResponse response;
+  const auto caller = fixture.Send(fixture.Request(path, "", "key", 4000), response);
+  REQUIRE(fixture.RunUntil([&] { return fail != nullptr; }));
+  const FakeUpstream* other = nullptr;
+  bool passed_on = true;
+
+  SECTION("as there is no other upstream") {}
+  SECTION("as the instance stops") {
+    other = &AddSoundUpstream(fixture);
+    const TimePoint now = BootTimeNow();
+    fixture.relay.BeginStop(now, now + seconds(3), now);
+  }
+  SECTION("but the request is sent there if it can") {
+    other = &AddSoundUpstream(fixture);
+    passed_on = false;
+  }
+
+  fail();
+  CHECK(fixture.RunUntil([&] { return response.ended; }));
+  CHECK(response.complete);
+  CHECK(response.status == (passed_on ? 500 : 200));
+  CHECK((response.body == "failure of the upstream") == passed_on);
+  CHECK(response.head.Field("Answer-Seal") == "seal");
+  CHECK((other == nullptr || other->requests().empty()) == passed_on);
+}
+
 }  // namespace chiverail
