Leave a silent upstream only as late as the caller's patience allows

Cause: 0.9 s without an event ended an attempt, though callers wait for 2 s, 4 objectives or 8 times the target time between events, whichever is longest (3.2 s there), and an engine that preempts a request goes on by itself. Change: a stream that has begun goes on elsewhere only after two thirds of that time, and during a stop not because of silence at all. An upstream whose bytes wait to be read (slow caller, delayed process) or whose answer is arriving is not silent. A call is sent elsewhere because of silence only while 40% of its time is left.

--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -14,12 +14,24 @@
 // possible.
 constexpr double kAttemptShare = 0.45;
 
-// A resumable stream is retried at another upstream if no event arrives for this multiple of its
-// latency objective, but not before kMinEventTimeout: engines pause a stream for the prefills of
-// other requests.
+// Fraction of its whole time that idempotent work needs for a retry because of silence.
+constexpr double kRetryShare = 0.4;
+
+// A resumable stream is retried at another upstream if its first event does not arrive for this
+// multiple of its latency objective, but not before kMinEventTimeout: engines let a request wait
+// for the prefills of others.
 constexpr int kEventTimeoutObjectives = 2;
 constexpr Duration kMinEventTimeout = milliseconds(900);
 
+// Callers abandon a stream if it pauses for the longest of kMinCallerPatience and these multiples
+// of its objective and of its target time between events. Engines that preempt a request pause its
+// stream as well and then go on, so one that has begun is retried only after kPatienceShare of that
+// time, which leaves the rest for the retry.
+constexpr Duration kMinCallerPatience = seconds(2);
+constexpr int kPatienceObjectives = 4;
+constexpr int kPatienceGaps = 8;
+constexpr double kPatienceShare = 2.0 / 3;
+
 // Interval at which it is checked whether a request of a silent upstream can be sent elsewhere.
 constexpr Duration kRetryCheck = milliseconds(250);
 
@@ -125,6 +137,12 @@
 }
 
 Duration RelayCall::EventTimeout() const {
+  if (events_relayed_) {
+    const Duration patience =
+        std::max<Duration>({kMinCallerPatience, route_->objective * kPatienceObjectives,
+                            route_->event_gap * kPatienceGaps});
+    return std::chrono::duration_cast<Duration>(patience * kPatienceShare);
+  }
   return std::max<Duration>(route_->objective * kEventTimeoutObjectives, kMinEventTimeout);
 }
 
@@ -180,12 +198,22 @@
 }
 
 bool RelayCall::CanBeSentElsewhere(AttemptFailure failure, TimePoint now) {
-  return MayRetry(failure, runs_ + 1, now) && relay_.MayRetry(service_name_, now) &&
-         StopAllows(now) && (!keyed_ || relay_.HasFreshConfig(now)) &&
-         !relay_.quarantine().HasHold(shared_segments_) &&
+  return MayRetry(failure, runs_ + 1, now) && StopAllows(now) &&
+         (!keyed_ || relay_.HasFreshConfig(now)) &&
+         !relay_.quarantine().HasHold(shared_segments_) && relay_.MayRetry(service_name_, now) &&
          ChooseNext(NextQuery(now), now).upstream != nullptr;
 }
 
+bool RelayCall::KeepsSilentAttempt(TimePoint now) const {
+  const bool stream = route_->kind == WorkKind::kStream;
+  const bool receiving =
+      connection_->HasUnread() || (phase_ == Phase::kBuffering && now < heard_at_ + kRetryCheck);
+  const bool too_late = !stream && deadline_ - now < (deadline_ - request_.received) * kRetryShare;
+  // The next upstream may decline a stream that has begun, and during a stop there is no other.
+  const bool at_risk = caller_->response_started() && relay_.stop_plan().stopping();
+  return receiving || too_late || at_risk;
+}
+
 bool RelayCall::PassesQuarantine(TimePoint now) {
   if (quarantine_trial_) {
     return true;
@@ -346,7 +374,7 @@
     return;
   }
   if (phase_ != Phase::kPlacing && attempt_deadline_ != TimePoint{} && attempt_deadline_ <= now) {
-    if (CanBeSentElsewhere(AttemptFailure::kTimeout, now)) {
+    if (!KeepsSilentAttempt(now) && CanBeSentElsewhere(AttemptFailure::kTimeout, now)) {
       FailAttempt(AttemptFailure::kTimeout, "no answer within the patience of an attempt");
       return;
     }
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -57,6 +57,9 @@
   Choice ChooseNext(const ChoiceQuery& query, TimePoint now);
   // Whether the request would be sent to another upstream at once if the current attempt ended now.
   bool CanBeSentElsewhere(AttemptFailure failure, TimePoint now);
+  // Whether the current attempt should go on although its time is over: its upstream does work on
+  // the request, or another one has too little time left or may lose what the caller has received.
+  bool KeepsSilentAttempt(TimePoint now) const;
   // Refuses the request if its prompt is in quarantine.
   bool PassesQuarantine(TimePoint now);
   // Whether a stop of this instance leaves time for a further attempt.
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -39,6 +39,7 @@
   WorkKind kind = WorkKind::kAtMostOnce;
   Duration timeout = seconds(30);  // maximum time until the end of the response
   Duration objective{};            // target time to the response, or to a stream's first event
+  Duration event_gap{};            // target time between two events of a stream; 0 if unknown
   int attempts = 1;                // maximum number of upstreams on which one request may run
   int priority = 0;                // set by operators; 0 for the most urgent
   bool is_public = false;          // no API key is required
--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -67,6 +67,9 @@
   // True if a response has been received on this connection before the request in progress.
   bool used() const { return responses_ > 0; }
 
+  // True if received bytes wait to be read, since reading is paused or the process was delayed.
+  bool HasUnread() const { return io_ && io_->HasUnread(); }
+
   // Pauses and resumes reading while the receiver of the response is slow.
   void PauseReading() { io_->PauseReading(); }
   void ResumeReading() { io_->ResumeReading(); }
