Move the listener and the responses of callers' connections into files of their own

Change: HttpListener moves to http_listener.h and http_listener.cc, the functions that send and end a response to caller_response.cc, as they are; includes follow. No behaviour changes.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -1,11 +1,11 @@
 #include "caller_connection.h"
 
-#include <charconv>
 #include <utility>
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 
+#include "http_listener.h"
 #include "log.h"
 
 namespace chiverail {
@@ -21,48 +21,10 @@
 // Timeout for a body after its head: callers with slow links must not hold memory indefinitely.
 constexpr Duration kBodyTimeout = seconds(20);
 
-// Delay after a failed accept: without free file descriptors accept would fail again immediately.
-constexpr Duration kAcceptRetry = milliseconds(50);
-
 // A stopping process closes a connection that has been idle for this long. A caller that sends its
 // next request at once is answered.
 constexpr Duration kMinIdleTime = milliseconds(100);
 
-std::string Hex(std::size_t value) {
-  char digits[16];
-  const auto end = std::to_chars(std::begin(digits), std::end(digits), value, 16).ptr;
-  return {digits, end};
-}
-
-std::string_view DefaultReason(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 500:
-      return "Internal Server Error";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Unknown";
-  }
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(HttpListener& listener, tcp::socket socket)
@@ -160,66 +122,6 @@
   Respond(status, {}, {}, {});
 }
 
-void CallerConnection::Respond(int status,
-                               std::string_view reason,
-                               const std::vector<HttpHeader>& fields,
-                               std::string_view body) {
-  StartResponse(status, reason, fields, BodyFraming::kLength, body.size());
-  SendBody(body);
-  EndResponse();
-}
-
-void CallerConnection::StartResponse(int status,
-                                     std::string_view reason,
-                                     const std::vector<HttpHeader>& fields,
-                                     BodyFraming framing,
-                                     std::uint64_t length) {
-  response_started_ = true;
-  chunked_ = framing != BodyFraming::kLength;
-  // Requests that the caller has sent already are answered before the connection closes.
-  closing_ = !keep_alive_ || (listener_.closing() && read_buffer_.empty() && !io_.HasUnread());
-  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
-  head.append(reason.empty() ? DefaultReason(status) : reason).append("\r\n");
-  for (const auto& [name, value] : fields) {
-    head.append(name).append(": ").append(value).append("\r\n");
-  }
-  if (chunked_) {
-    head.append("Transfer-Encoding: chunked\r\n");
-  } else if (status != 204 && status != 304) {
-    head.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
-  }
-  head.append(closing_ ? "Connection: close\r\n\r\n" : "\r\n");
-  io_.Send(head);
-}
-
-void CallerConnection::SendBody(std::string_view bytes) {
-  if (bytes.empty() || head_request_) {
-    return;
-  }
-  if (!chunked_) {
-    io_.Send(bytes);
-    return;
-  }
-  std::string chunk = Hex(bytes.size());
-  chunk.append("\r\n").append(bytes).append("\r\n");
-  io_.Send(chunk);
-}
-
-void CallerConnection::EndResponse() {
-  if (chunked_ && !head_request_) {
-    io_.Send("0\r\n\r\n");
-  }
-  on_disconnect_ = nullptr;
-  busy_ = false;
-  chunked_ = false;
-  if (closing_) {
-    timer_.cancel();
-    io_.CloseWhenSent();
-    return;
-  }
-  NextRequest();
-}
-
 void CallerConnection::NextRequest() {
   StartTimeout(TimeoutPhase::kIdle);
   io_.ResumeReading();
@@ -232,20 +134,6 @@
   }
 }
 
-void CallerConnection::Abort() {
-  on_disconnect_ = nullptr;
-  busy_ = false;
-  timer_.cancel();
-  io_.Reset();
-}
-
-void CallerConnection::EndIncomplete() {
-  on_disconnect_ = nullptr;
-  busy_ = false;
-  timer_.cancel();
-  io_.CloseWhenSent();
-}
-
 void CallerConnection::RefuseUnread(const std::vector<HttpHeader>& fields) {
   if (!busy_ && parser_) {
     busy_ = true;
@@ -348,111 +236,4 @@
   });
 }
 
-HttpListener::HttpListener(asio::io_context& io, const std::string& address, Handler handler)
-    : io_(io), acceptor_(io), accept_retry_timer_(io), handler_(std::move(handler)) {
-  const auto [host, port] = SplitAddress(address);
-  const tcp::endpoint endpoint(asio::ip::make_address(host), port);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen(1024);
-  Accept();
-}
-
-void HttpListener::Accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
-      return;
-    }
-    if (error) {
-      ComponentLogger("http")->warn("Cannot accept a connection: {}.", error.message());
-      accept_retry_timer_.expires_after(kAcceptRetry);
-      accept_retry_timer_.async_wait([this](const auto& cancelled) {
-        if (!cancelled) {
-          Accept();
-        }
-      });
-      return;
-    }
-    AddConnection(std::move(socket));
-    if (connections_.size() > 64 && connections_.size() % 32 == 0) {
-      for (auto entry = connections_.begin(); entry != connections_.end();) {
-        entry = entry->second.expired() ? connections_.erase(entry) : ++entry;
-      }
-    }
-    Accept();
-  });
-}
-
-void HttpListener::AddConnection(tcp::socket socket) {
-  const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
-  connections_[connection.get()] = connection;
-  connection->Start();
-}
-
-// Closing the acceptor resets the connections in its queue, with the requests on them.
-void HttpListener::AcceptQueued() {
-  boost::system::error_code error;
-  acceptor_.non_blocking(true, error);
-  while (!error) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (!error) {
-      AddConnection(std::move(socket));
-    }
-  }
-}
-
-void HttpListener::Close() {
-  if (acceptor_.is_open()) {
-    AcceptQueued();
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-  }
-  CloseIdle();
-}
-
-void HttpListener::CloseIdle() {
-  for (const auto& [key, weak] : connections_) {
-    if (const auto connection = weak.lock()) {
-      connection->CloseIfIdle();
-    }
-  }
-}
-
-void HttpListener::RefuseUnread(const std::vector<HttpHeader>& fields) {
-  for (const auto& [key, weak] : connections_) {
-    if (const auto connection = weak.lock()) {
-      connection->RefuseUnread(fields);
-    }
-  }
-}
-
-std::size_t HttpListener::unfinished() const {
-  std::size_t count = 0;
-  for (const auto& [key, weak] : connections_) {
-    const auto connection = weak.lock();
-    count += connection && connection->has_unfinished_request() ? 1 : 0;
-  }
-  return count;
-}
-
-std::size_t HttpListener::in_use() const {
-  std::size_t count = 0;
-  for (const auto& [key, weak] : connections_) {
-    const auto connection = weak.lock();
-    count += connection && connection->in_use() ? 1 : 0;
-  }
-  return count;
-}
-
-std::size_t HttpListener::busy() const {
-  std::size_t count = 0;
-  for (const auto& [key, weak] : connections_) {
-    const auto connection = weak.lock();
-    count += connection && connection->busy() ? 1 : 0;
-  }
-  return count;
-}
-
 }  // namespace chiverail
--- /dev/null
+++ b/src/caller_response.cc
@@ -0,0 +1,124 @@
+// CallerConnection: responses and their ends.
+
+#include <charconv>
+#include <iterator>
+#include <string>
+
+#include "caller_connection.h"
+#include "http_listener.h"
+
+namespace chiverail {
+namespace {
+
+std::string Hex(std::size_t value) {
+  char digits[16];
+  const auto end = std::to_chars(std::begin(digits), std::end(digits), value, 16).ptr;
+  return {digits, end};
+}
+
+std::string_view DefaultReason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Unknown";
+  }
+}
+
+}  // namespace
+
+void CallerConnection::Respond(int status,
+                               std::string_view reason,
+                               const std::vector<HttpHeader>& fields,
+                               std::string_view body) {
+  StartResponse(status, reason, fields, BodyFraming::kLength, body.size());
+  SendBody(body);
+  EndResponse();
+}
+
+void CallerConnection::StartResponse(int status,
+                                     std::string_view reason,
+                                     const std::vector<HttpHeader>& fields,
+                                     BodyFraming framing,
+                                     std::uint64_t length) {
+  response_started_ = true;
+  chunked_ = framing != BodyFraming::kLength;
+  // Requests that the caller has sent already are answered before the connection closes.
+  closing_ = !keep_alive_ || (listener_.closing() && read_buffer_.empty() && !io_.HasUnread());
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head.append(reason.empty() ? DefaultReason(status) : reason).append("\r\n");
+  for (const auto& [name, value] : fields) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (chunked_) {
+    head.append("Transfer-Encoding: chunked\r\n");
+  } else if (status != 204 && status != 304) {
+    head.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+  }
+  head.append(closing_ ? "Connection: close\r\n\r\n" : "\r\n");
+  io_.Send(head);
+}
+
+void CallerConnection::SendBody(std::string_view bytes) {
+  if (bytes.empty() || head_request_) {
+    return;
+  }
+  if (!chunked_) {
+    io_.Send(bytes);
+    return;
+  }
+  std::string chunk = Hex(bytes.size());
+  chunk.append("\r\n").append(bytes).append("\r\n");
+  io_.Send(chunk);
+}
+
+void CallerConnection::EndResponse() {
+  if (chunked_ && !head_request_) {
+    io_.Send("0\r\n\r\n");
+  }
+  on_disconnect_ = nullptr;
+  busy_ = false;
+  chunked_ = false;
+  if (closing_) {
+    timer_.cancel();
+    io_.CloseWhenSent();
+    return;
+  }
+  NextRequest();
+}
+
+void CallerConnection::Abort() {
+  on_disconnect_ = nullptr;
+  busy_ = false;
+  timer_.cancel();
+  io_.Reset();
+}
+
+void CallerConnection::EndIncomplete() {
+  on_disconnect_ = nullptr;
+  busy_ = false;
+  timer_.cancel();
+  io_.CloseWhenSent();
+}
+
+}  // namespace chiverail
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -10,10 +10,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "caller_connection.h"
 #include "decision_log.h"
 #include "gateway_settings.h"
 #include "header_names.h"
+#include "http_listener.h"
 #include "metrics.h"
 #include "peer_datagrams.h"
 #include "relay.h"
--- /dev/null
+++ b/src/http_listener.cc
@@ -0,0 +1,129 @@
+#include "http_listener.h"
+
+#include <utility>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include "log.h"
+
+namespace chiverail {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// Delay after a failed accept: without free file descriptors accept would fail again immediately.
+constexpr Duration kAcceptRetry = milliseconds(50);
+
+}  // namespace
+
+HttpListener::HttpListener(asio::io_context& io, const std::string& address, Handler handler)
+    : io_(io), acceptor_(io), accept_retry_timer_(io), handler_(std::move(handler)) {
+  const auto [host, port] = SplitAddress(address);
+  const tcp::endpoint endpoint(asio::ip::make_address(host), port);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(1024);
+  Accept();
+}
+
+void HttpListener::Accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    if (error) {
+      ComponentLogger("http")->warn("Cannot accept a connection: {}.", error.message());
+      accept_retry_timer_.expires_after(kAcceptRetry);
+      accept_retry_timer_.async_wait([this](const auto& cancelled) {
+        if (!cancelled) {
+          Accept();
+        }
+      });
+      return;
+    }
+    AddConnection(std::move(socket));
+    if (connections_.size() > 64 && connections_.size() % 32 == 0) {
+      for (auto entry = connections_.begin(); entry != connections_.end();) {
+        entry = entry->second.expired() ? connections_.erase(entry) : ++entry;
+      }
+    }
+    Accept();
+  });
+}
+
+void HttpListener::AddConnection(tcp::socket socket) {
+  const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+  connections_[connection.get()] = connection;
+  connection->Start();
+}
+
+// Closing the acceptor resets the connections in its queue, with the requests on them.
+void HttpListener::AcceptQueued() {
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      AddConnection(std::move(socket));
+    }
+  }
+}
+
+void HttpListener::Close() {
+  if (acceptor_.is_open()) {
+    AcceptQueued();
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+  }
+  CloseIdle();
+}
+
+void HttpListener::CloseIdle() {
+  for (const auto& [key, weak] : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->CloseIfIdle();
+    }
+  }
+}
+
+void HttpListener::RefuseUnread(const std::vector<HttpHeader>& fields) {
+  for (const auto& [key, weak] : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->RefuseUnread(fields);
+    }
+  }
+}
+
+std::size_t HttpListener::unfinished() const {
+  std::size_t count = 0;
+  for (const auto& [key, weak] : connections_) {
+    const auto connection = weak.lock();
+    count += connection && connection->has_unfinished_request() ? 1 : 0;
+  }
+  return count;
+}
+
+std::size_t HttpListener::in_use() const {
+  std::size_t count = 0;
+  for (const auto& [key, weak] : connections_) {
+    const auto connection = weak.lock();
+    count += connection && connection->in_use() ? 1 : 0;
+  }
+  return count;
+}
+
+std::size_t HttpListener::busy() const {
+  std::size_t count = 0;
+  for (const auto& [key, weak] : connections_) {
+    const auto connection = weak.lock();
+    count += connection && connection->busy() ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace chiverail
--- /dev/null
+++ b/src/http_listener.h
@@ -0,0 +1,73 @@
+#ifndef CHIVERAIL_HTTP_LISTENER_H_
+#define CHIVERAIL_HTTP_LISTENER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "caller_connection.h"
+#include "route_table.h"
+
+namespace chiverail {
+
+// Accepts connections of callers on one address.
+class HttpListener {
+ public:
+  using Handler = std::function<void(const std::shared_ptr<CallerConnection>&, CallerRequest)>;
+
+  // Binds to "ip:port". Throws boost::system::system_error when the address can't be bound.
+  HttpListener(boost::asio::io_context& io, const std::string& address, Handler handler);
+
+  // Sets the limits for requests that start after the call.
+  void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+
+  // Adds "Connection: close" to every response that starts after the call.
+  void StartClosing() { closing_ = true; }
+
+  // Stops accepting connections and closes the idle ones. Connections that callers have opened are
+  // accepted first.
+  void Close();
+
+  // Closes idle connections. Busy ones close after their response if StartClosing() was called.
+  void CloseIdle();
+
+  // Refuses the requests that were received in part.
+  void RefuseUnread(const std::vector<HttpHeader>& fields);
+
+  // Number of connections on which a request is being answered.
+  std::size_t busy() const;
+
+  // Number of connections with an unfinished request.
+  std::size_t unfinished() const;
+
+  // Number of connections that are in use.
+  std::size_t in_use() const;
+
+  const CallerLimits& limits() const { return limits_; }
+  bool closing() const { return closing_; }
+  boost::asio::io_context& io() { return io_; }
+
+ private:
+  friend class CallerConnection;
+  void Accept();
+  void AcceptQueued();
+  void AddConnection(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_retry_timer_;
+  Handler handler_;
+  CallerLimits limits_;
+  bool closing_ = false;
+  std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> connections_;
+};
+
+}  // namespace chiverail
+
+#endif  // CHIVERAIL_HTTP_LISTENER_H_
--- a/tests/caller_connection_test.cc
+++ b/tests/caller_connection_test.cc
@@ -1,4 +1,4 @@
-#include "caller_connection.h"
+#include "http_listener.h"
 
 #include <array>
 
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "http_listener.h"
 #include "relay.h"
 
 namespace chiverail {
