Pass nothing on from a connection that closes while its answer is being sent

Cause: an answer that says "Connection: close" and was not yet taken by its caller's socket left the connection reading. A request that came then was passed on, and its connection closed without its answer (LOST). A caller that closed its own side after its answer had ended lost what was not yet sent. Change: a connection that closes reads and drops what comes, and a caller that has closed its own side gets the rest of an answer that has ended. A caller that reads nothing for the idle time is reset, one that goes on reading is not. Before its answer has ended, the close of a caller's own side still ends its request: a full close looks the same until something is written.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -39,10 +39,17 @@
 }
 
 void CallerConnection::OnBytes(std::string_view bytes) {
+  if (bytes.empty() && !busy_ && io_.unsent() > 0) {
+    CloseWhenSent();  // a caller that has closed its side only may still read its answer
+    return;
+  }
   if (bytes.empty()) {
     HandleDisconnect();
     return;
   }
+  if (ended_) {
+    return;
+  }
   read_buffer_.append(bytes);
   if (!busy_) {
     Parse();
@@ -81,6 +88,13 @@
   }
 }
 
+void CallerConnection::BeginRequest(const MessageHead& head) {
+  busy_ = true;
+  response_started_ = false;
+  keep_alive_ = head.keep_alive;
+  head_request_ = head.method == "HEAD";
+}
+
 void CallerConnection::DispatchRequest() {
   CallerRequest request{parser_->head(), std::move(body_), first_byte_at_};
   body_.clear();
@@ -88,10 +102,7 @@
   if (read_buffer_.empty()) {
     read_buffer_.shrink_to_fit();
   }
-  busy_ = true;
-  response_started_ = false;
-  keep_alive_ = request.head.keep_alive;
-  head_request_ = request.head.method == "HEAD";
+  BeginRequest(request.head);
   StartTimeout(TimeoutPhase::kNone);
   try {
     listener_.handler_(shared_from_this(), std::move(request));
@@ -134,6 +145,16 @@
   }
 }
 
+// A caller that does not read has the idle time to go on, see OnTimer().
+void CallerConnection::CloseWhenSent() {
+  ended_ = true;
+  parser_.reset();
+  read_buffer_ = {};
+  StartTimeout(TimeoutPhase::kIdle);
+  io_.ResumeReading();
+  io_.CloseWhenSent();
+}
+
 void CallerConnection::RefuseUnread(const std::vector<HttpHeader>& fields) {
   if (!busy_ && parser_) {
     busy_ = true;
@@ -169,8 +190,7 @@
     ArmTimer(left);
     return;
   }
-  timer_.cancel();
-  io_.CloseWhenSent();
+  CloseWhenSent();
 }
 
 void CallerConnection::HandleDisconnect() {
@@ -188,6 +208,7 @@
   timeout_phase_ = phase;
   if (phase == TimeoutPhase::kIdle) {
     idle_since_ = BootTimeNow();
+    unsent_before_ = io_.unsent();
   }
   const CallerLimits& limits = listener_.limits();
   Duration timeout = limits.idle_timeout;
@@ -209,11 +230,13 @@
   }
   const TimePoint now = BootTimeNow();
   if (timeout_phase_ != TimeoutPhase::kNone && timeout_at_ <= now) {
-    if (timeout_phase_ == TimeoutPhase::kIdle && io_.HasUnread()) {
+    if (timeout_phase_ == TimeoutPhase::kIdle && !ended_ && io_.HasUnread()) {
       ArmTimer(kMinIdleTime);  // its next request has come in time
+    } else if (timeout_phase_ == TimeoutPhase::kIdle && io_.unsent() > 0) {
+      // A caller that reads nothing of its response has had the idle time for it.
+      io_.unsent() < unsent_before_ ? StartTimeout(TimeoutPhase::kIdle) : io_.Reset();
     } else if (timeout_phase_ == TimeoutPhase::kIdle) {
-      // A caller that does not read its response has had the idle time for it.
-      io_.unsent() > 0 ? io_.Reset() : io_.CloseWhenSent();
+      CloseWhenSent();
     } else {
       busy_ = true;
       keep_alive_ = false;
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -100,9 +100,11 @@
 
   void OnBytes(std::string_view bytes);
   void Parse();
+  void BeginRequest(const MessageHead& head);
   void DispatchRequest();
   void RefuseMalformed();
   void NextRequest();
+  void CloseWhenSent();
   void HandleDisconnect();
   void StartTimeout(TimeoutPhase phase);
   void OnTimer();
@@ -125,6 +127,8 @@
   bool response_started_ = false;
   bool chunked_ = false;
   bool head_request_ = false;
+  bool ended_ = false;             // no further request is read
+  std::size_t unsent_before_ = 0;  // when the timer was last started
   std::function<void()> on_disconnect_;
 };
 
--- a/src/caller_response.cc
+++ b/src/caller_response.cc
@@ -100,8 +100,7 @@
   busy_ = false;
   chunked_ = false;
   if (closing_) {
-    timer_.cancel();
-    io_.CloseWhenSent();
+    CloseWhenSent();
     return;
   }
   NextRequest();
@@ -117,8 +116,7 @@
 void CallerConnection::EndIncomplete() {
   on_disconnect_ = nullptr;
   busy_ = false;
-  timer_.cancel();
-  io_.CloseWhenSent();
+  CloseWhenSent();
 }
 
 }  // namespace chiverail
--- a/src/http_listener.cc
+++ b/src/http_listener.cc
@@ -1,5 +1,6 @@
 #include "http_listener.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -99,6 +100,13 @@
   }
 }
 
+bool HttpListener::HasUnsent() const {
+  return std::any_of(connections_.begin(), connections_.end(), [](const auto& entry) {
+    const auto connection = entry.second.lock();
+    return connection && connection->unsent() > 0;
+  });
+}
+
 std::size_t HttpListener::unfinished() const {
   std::size_t count = 0;
   for (const auto& [key, weak] : connections_) {
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -49,6 +49,9 @@
   // Number of connections that are in use.
   std::size_t in_use() const;
 
+  // True if bytes of responses wait to be taken by the sockets.
+  bool HasUnsent() const;
+
   const CallerLimits& limits() const { return limits_; }
   bool closing() const { return closing_; }
   boost::asio::io_context& io() { return io_; }
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -252,7 +252,8 @@
 class Gateway:
     """A gateway process with its settings file and log."""
 
-    def __init__(self, program, name, platform_address, seeds="", withdrawal_ms=5000, data_centre="west"):
+    def __init__(self, program, name, platform_address, seeds="", withdrawal_ms=5000, data_centre="west",
+                 settings=None):
         ports = free_ports(5)
         self.front, self.ready, self.directory, self.metrics, self.peer = ports
         self.settings = {"instance_id": name, "data_centre": data_centre, "platform_address": platform_address,
@@ -261,7 +262,7 @@
                          "directory_address": "127.0.0.1:%d" % self.directory,
                          "metrics_address": "127.0.0.1:%d" % self.metrics,
                          "peer_address": "127.0.0.1:%d" % self.peer, "seeds": seeds,
-                         "key_withdrawal_ms": withdrawal_ms}
+                         "key_withdrawal_ms": withdrawal_ms, **(settings or {})}
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json", delete=False)
         self.write_settings()
         self.log = tempfile.TemporaryFile("w+")
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -97,6 +97,8 @@
   RelayFixture(const RelayFixture&) = delete;
   RelayFixture& operator=(const RelayFixture&) = delete;
 
+  HttpListener& front() { return front_; }
+
   // Lines of the decision log with the given event.
   std::vector<nlohmann::json> Lines(const std::string& event) {
     log_.Flush();
