End answers that break off without a reset

Cause: a stream that reached its own deadline, or whose upstream failed without a further attempt, was reset, and the caller could lose events that were written before. At a stop such answers have ended without a reset since, but then looked complete to callers of HTTP/1.0, which know no chunks (MIXED). Change: both ends use EndIncomplete(). It closes without a reset if the framing shows that the rest is missing: a length that is not reached, or chunks without the last one for a caller of HTTP/1.1. All others are reset: chunks for HTTP/1.0, HEAD, and a length that is reached. A caller that reads nothing is reset after the idle time. Evidence: "An answer that ends early is delivered as far as it came" failed before for streams and for bodies with a length, at the deadline and with a reset of the upstream, and without the check of the framing for HTTP/1.0; it passes.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -93,6 +93,7 @@
   response_started_ = false;
   keep_alive_ = head.keep_alive;
   head_request_ = head.method == "HEAD";
+  http_1_0_ = head.http_1_0;
 }
 
 void CallerConnection::DispatchRequest() {
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -60,7 +60,8 @@
   void Abort();
 
   // Closes the connection within a response of which the caller keeps what was sent. The response
-  // does not look complete: its length or its last chunk is missing.
+  // does not look complete: the rest of its length or its last chunk is missing. If its framing
+  // can't show that, the connection is reset.
   void EndIncomplete();
 
   // Refuses a request that was received in part, because the process ends. Its connection closes.
@@ -105,6 +106,7 @@
   void RefuseMalformed();
   void NextRequest();
   void CloseWhenSent();
+  bool LooksComplete() const;
   void HandleDisconnect();
   void StartTimeout(TimeoutPhase phase);
   void OnTimer();
@@ -126,7 +128,9 @@
   bool closing_ = false;  // the connection closes after the current response
   bool response_started_ = false;
   bool chunked_ = false;
+  std::uint64_t length_left_ = 0;  // of a response with a length
   bool head_request_ = false;
+  bool http_1_0_ = false;
   bool ended_ = false;             // no further request is read
   std::size_t unsent_before_ = 0;  // when the timer was last started
   std::function<void()> on_disconnect_;
--- a/src/caller_response.cc
+++ b/src/caller_response.cc
@@ -1,5 +1,6 @@
 // CallerConnection: responses and their ends.
 
+#include <algorithm>
 #include <charconv>
 #include <iterator>
 #include <string>
@@ -63,6 +64,7 @@
                                      std::uint64_t length) {
   response_started_ = true;
   chunked_ = framing != BodyFraming::kLength;
+  length_left_ = chunked_ ? 0 : length;
   // Requests that the caller has sent already are answered before the connection closes.
   closing_ = !keep_alive_ || (listener_.closing() && read_buffer_.empty() && !io_.HasUnread());
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
@@ -84,6 +86,7 @@
     return;
   }
   if (!chunked_) {
+    length_left_ -= std::min<std::uint64_t>(length_left_, bytes.size());
     io_.Send(bytes);
     return;
   }
@@ -113,7 +116,16 @@
   io_.Reset();
 }
 
+// Whether what was sent of a response that has not ended could be taken for the whole response.
+bool CallerConnection::LooksComplete() const {
+  return head_request_ || (chunked_ ? http_1_0_ : length_left_ == 0);
+}
+
 void CallerConnection::EndIncomplete() {
+  if (LooksComplete()) {
+    Abort();
+    return;
+  }
   on_disconnect_ = nullptr;
   busy_ = false;
   CloseWhenSent();
--- a/src/http_message.cc
+++ b/src/http_message.cc
@@ -30,13 +30,15 @@
 
   static std::string Text(View view) { return {view.data(), view.size()}; }
 
-  void on_request_impl(http::verb, View method, View target, int, Error&) override {
+  void on_request_impl(http::verb, View method, View target, int version, Error&) override {
     head.method = Text(method);
     head.target = Text(target);
+    head.http_1_0 = version < 11;
   }
-  void on_response_impl(int code, View reason, int, Error&) override {
+  void on_response_impl(int code, View reason, int version, Error&) override {
     head.status = code;
     head.reason = Text(reason);
+    head.http_1_0 = version < 11;
   }
   void on_field_impl(http::field, View name, View value, Error&) override {
     head.fields.emplace_back(Text(name), Text(value));
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -35,6 +35,7 @@
   std::string target;  // of a request
   std::vector<HttpHeader> fields;
   bool keep_alive = true;  // the sender keeps the connection open
+  bool http_1_0 = false;   // the sender speaks HTTP/1.0, which has no chunked bodies
   BodyFraming framing = BodyFraming::kLength;
   // Absent for chunked bodies, bodies that end when the connection closes, and messages without a
   // body.
--- a/src/relay_finish.cc
+++ b/src/relay_finish.cc
@@ -38,7 +38,7 @@
 void RelayCall::RespondWithFailure(AttemptFailure failure) {
   if (caller_->response_started()) {
     unsent_bytes_ = caller_->unsent();
-    caller_->Abort();
+    caller_->EndIncomplete();
     Finish("cut", 0);
     return;
   }
--- a/tests/ended_answer_test.cc
+++ b/tests/ended_answer_test.cc
@@ -1,17 +1,87 @@
-// Answers whose connections close while they are being sent.
+// Answers that the relay ends before they are whole.
 
 #include <catch2/catch.hpp>
 
 #include "raw_caller.h"
-#include "relay_fixture.h"
+#include "raw_fixture.h"
 
 namespace chiverail {
 namespace {
 
+constexpr const char* kEvent = "id: 1\ndata: a\n\n";
+
 constexpr int kReceiveBuffer = 64 * 1024;  // of a caller that reads slowly
 
+std::string SealedHead(const std::string& framing) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nAnswer-Seal: seal\r\n" + framing + "\r\n\r\n";
+}
+
+// Runs the relay until the caller's connection has ended; the caller reads nothing before.
+void ReadAfterEnd(RawFixture& fixture, RawCaller& caller) {
+  fixture.RunFor(milliseconds(900), [] { return false; });
+  fixture.RunUntil([&] { return !caller.Read(); });
+}
+
 }  // namespace
 
+// Guards against resets with which callers lose what was written before, and against answers that
+// look complete though they are not (MIXED).
+TEST_CASE("An answer that ends early is delivered as far as it came") {
+  const bool breaks = GENERATE(false, true);
+  std::string begin = SealedHead("Content-Length: 500") + kEvent;
+  RawFixture fixture([&](RawServer& server, int) {
+    breaks ? server.SendAndClose(begin, true) : server.Send(begin);
+  });
+  RawCaller caller(RelayFixture::kPort);
+
+  SECTION("a stream, without its last chunk") {
+    caller.Write(RelayFixture::Request("/chat/x"));
+    ReadAfterEnd(fixture, caller);
+    CHECK(caller.Has(kEvent));
+    CHECK_FALSE(caller.Has("\r\n0\r\n"));
+    CHECK(caller.ended());
+    CHECK_FALSE(caller.reset());
+  }
+  SECTION("a body with a length, without its rest") {
+    begin = SealedHead("Content-Length: 200000") + std::string(100'000, 'x');
+    caller.Write(RelayFixture::Request("/book/x"));
+    ReadAfterEnd(fixture, caller);
+    CHECK(caller.Has("Content-Length: 200000"));
+    CHECK(caller.received().size() > 100'000);
+    CHECK(caller.received().size() < 150'000);
+    CHECK(caller.ended());
+    CHECK_FALSE(caller.reset());
+  }
+  SECTION("but with a reset if the caller does not know chunks") {
+    std::string request = RelayFixture::Request("/chat/x");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    caller.Write(request);
+    if (GENERATE(false, true)) {
+      fixture.RunFor(milliseconds(100), [] { return false; });
+      fixture.relay.EndCalls();
+    }
+    ReadAfterEnd(fixture, caller);
+    CHECK(caller.ended());
+    CHECK(caller.reset());
+  }
+}
+
+TEST_CASE("A caller that does not read an answer that ended early is not waited for") {
+  RawFixture fixture([](RawServer& server, int) {
+    server.Send(SealedHead("Content-Length: 9000000"));
+    server.SendForever(kEvent + std::string(kEvent).replace(4, 1, "2"));
+  });
+  CallerLimits limits;
+  limits.idle_timeout = milliseconds(300);
+  fixture.front().SetLimits(limits);
+  RawCaller caller(RelayFixture::kPort, 4096);
+  caller.Write(RelayFixture::Request("/chat/x"));
+  fixture.RunFor(milliseconds(500), [] { return false; });
+  CHECK(fixture.front().busy() == 1);
+  CHECK(fixture.front().HasUnsent());
+  CHECK(fixture.RunFor(seconds(2), [&] { return fixture.front().in_use() == 0; }));
+}
+
 // Guards against requests that are passed on though their connection already closes (LOST), and
 // against answers that are dropped because their caller has closed its own side.
 TEST_CASE("A connection that closes while its answer is being sent") {
