Refuse requests that a stop leaves no time for while their bodies arrive

Cause: the StopPlan was asked only for whole requests. A caller whose body was still arriving got its 503 when it had sent all, up to 4 s later, or when the process ended. Change: the relay is offered each request whose head is complete and whose body is not, when the head is complete and 20 times a second during a stop, and refuses it by the rule for whole ones: 503 as not run, with other instances and Connection: close. The rest of the body is read and dropped, within its limits of size and 20 s, before the connection closes, as a close with unread bytes would reset it. A caller that waits for 100 Continue is refused instead. Earlier answers on the connection go first.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -69,6 +69,13 @@
     StartTimeout(TimeoutPhase::kReadingHead);
   }
   read_buffer_.erase(0, parser_->Put(read_buffer_));
+  if (drops_body_) {
+    parser_->TakeBody();
+    if (parser_->failed() || parser_->complete()) {
+      CloseWhenSent();
+    }
+    return;
+  }
   if (parser_->failed()) {
     RefuseMalformed();
     return;
@@ -78,7 +85,11 @@
   }
   if (timeout_phase_ == TimeoutPhase::kReadingHead) {
     StartTimeout(TimeoutPhase::kReadingBody);
-    if (SameFieldName(parser_->head().Field("Expect"), "100-continue") && !parser_->complete()) {
+    const bool waits = SameFieldName(parser_->head().Field("Expect"), "100-continue");
+    if (OfferEarlyRefusal(!waits)) {
+      return;
+    }
+    if (waits && !parser_->complete()) {
       io_.Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
   }
@@ -96,6 +107,31 @@
   http_1_0_ = head.http_1_0;
 }
 
+void CallerConnection::RefuseEarly() {
+  OfferEarlyRefusal(true);
+}
+
+// The rest of the body is read and dropped, within the limits of its size and time, before the
+// connection closes: the caller may read its answer only when it has sent all. `body_comes` is
+// false if the caller waits with the body until it is told to send it.
+bool CallerConnection::OfferEarlyRefusal(bool body_comes) {
+  const auto& refuse = listener_.early_refusal();
+  if (!refuse || busy_ || drops_body_ || ended_ || !io_.open() || !parser_ ||
+      !parser_->head_complete() || parser_->complete()) {
+    return false;
+  }
+  BeginRequest(parser_->head());
+  keep_alive_ = false;
+  drops_body_ = body_comes;
+  if (refuse(shared_from_this(), parser_->head(), first_byte_at_)) {
+    body_ = {};
+    return true;
+  }
+  drops_body_ = false;
+  busy_ = false;
+  return false;
+}
+
 void CallerConnection::DispatchRequest() {
   CallerRequest request{parser_->head(), std::move(body_), first_byte_at_};
   body_.clear();
@@ -157,7 +193,9 @@
 }
 
 void CallerConnection::RefuseUnread(const std::vector<HttpHeader>& fields) {
-  if (!busy_ && parser_) {
+  if (drops_body_ && !ended_) {
+    CloseWhenSent();
+  } else if (!busy_ && parser_) {
     busy_ = true;
     keep_alive_ = false;
     StartTimeout(TimeoutPhase::kNone);
@@ -236,7 +274,7 @@
     } else if (timeout_phase_ == TimeoutPhase::kIdle && io_.unsent() > 0) {
       // A caller that reads nothing of its response has had the idle time for it.
       io_.unsent() < unsent_before_ ? StartTimeout(TimeoutPhase::kIdle) : io_.Reset();
-    } else if (timeout_phase_ == TimeoutPhase::kIdle) {
+    } else if (timeout_phase_ == TimeoutPhase::kIdle || drops_body_) {
       CloseWhenSent();
     } else {
       busy_ = true;
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -64,6 +64,10 @@
   // can't show that, the connection is reset.
   void EndIncomplete();
 
+  // Has the listener's owner refuse a request whose body is still arriving, if it knows that it
+  // can't serve it.
+  void RefuseEarly();
+
   // Refuses a request that was received in part, because the process ends. Its connection closes.
   void RefuseUnread(const std::vector<HttpHeader>& fields);
 
@@ -102,6 +106,7 @@
   void OnBytes(std::string_view bytes);
   void Parse();
   void BeginRequest(const MessageHead& head);
+  bool OfferEarlyRefusal(bool body_comes);
   void DispatchRequest();
   void RefuseMalformed();
   void NextRequest();
@@ -131,6 +136,7 @@
   std::uint64_t length_left_ = 0;  // of a response with a length
   bool head_request_ = false;
   bool http_1_0_ = false;
+  bool drops_body_ = false;        // the request was refused while its body was arriving
   bool ended_ = false;             // no further request is read
   std::size_t unsent_before_ = 0;  // when the timer was last started
   std::function<void()> on_disconnect_;
--- a/src/caller_response.cc
+++ b/src/caller_response.cc
@@ -102,6 +102,9 @@
   on_disconnect_ = nullptr;
   busy_ = false;
   chunked_ = false;
+  if (closing_ && drops_body_) {
+    return;
+  }
   if (closing_) {
     CloseWhenSent();
     return;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -137,6 +137,10 @@
                                                    : CallerLimits{});
         relay_.Handle(caller, std::move(request));
       });
+  caller_listener_->SetEarlyRefusal(
+      [this](const Caller& caller, const MessageHead& head, TimePoint received) {
+        return relay_.RefuseEarly(caller, head, received);
+      });
   ready_listener_ = std::make_unique<HttpListener>(
       io_, settings_.ready_address, [this](const Caller& caller, const CallerRequest& request) {
         RespondReady(caller, request);
@@ -344,6 +348,7 @@
   const TimePoint now = BootTimeNow();
   const Duration passed = now - leaving_since_;
   relay_.RefuseWaiting(now);
+  caller_listener_->RefuseEarly();
   if (passed >= settings_.drain_accept) {
     caller_listener_->Close();
   }
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -103,7 +103,7 @@
        "Seconds after SIGTERM at which the process is killed. The deadline of a stop is 0.9 s "
        "earlier: what still runs then is answered as failed, or broken off if its answer has "
        "begun, and the process ends within 0.3 s. From SIGTERM on, requests that may last beyond "
-       "the deadline are refused at once as not run."},
+       "the deadline are refused at once as not run, also while their bodies are still arriving."},
       {"directory_ttl_s", CountRow{&S::directory_ttl_s, 1, 3600, 2},
        "Seconds for which callers may cache a response of the directory."},
       {"retry_ratio", NumberRow{&S::retry_ratio, 0, 1, 0.2},
--- a/src/http_listener.cc
+++ b/src/http_listener.cc
@@ -100,6 +100,14 @@
   }
 }
 
+void HttpListener::RefuseEarly() {
+  for (const auto& [key, weak] : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->RefuseEarly();
+    }
+  }
+}
+
 bool HttpListener::HasUnsent() const {
   return std::any_of(connections_.begin(), connections_.end(), [](const auto& entry) {
     const auto connection = entry.second.lock();
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -21,12 +22,23 @@
  public:
   using Handler = std::function<void(const std::shared_ptr<CallerConnection>&, CallerRequest)>;
 
+  // Refuses a request whose body is still arriving if it is known that it can't be served; returns
+  // whether it has.
+  using EarlyRefusal = std::function<
+      bool(const std::shared_ptr<CallerConnection>&, const MessageHead&, TimePoint received)>;
+
   // Binds to "ip:port". Throws boost::system::system_error when the address can't be bound.
   HttpListener(boost::asio::io_context& io, const std::string& address, Handler handler);
 
   // Sets the limits for requests that start after the call.
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
+  // Sets the function that is offered each request whose head is complete and whose body is not.
+  void SetEarlyRefusal(EarlyRefusal refusal) { early_refusal_ = std::move(refusal); }
+
+  // Offers that function the requests whose bodies are still arriving.
+  void RefuseEarly();
+
   // Adds "Connection: close" to every response that starts after the call.
   void StartClosing() { closing_ = true; }
 
@@ -52,6 +64,7 @@
   // True if bytes of responses wait to be taken by the sockets.
   bool HasUnsent() const;
 
+  const EarlyRefusal& early_refusal() const { return early_refusal_; }
   const CallerLimits& limits() const { return limits_; }
   bool closing() const { return closing_; }
   boost::asio::io_context& io() { return io_; }
@@ -66,6 +79,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_retry_timer_;
   Handler handler_;
+  EarlyRefusal early_refusal_;
   CallerLimits limits_;
   bool closing_ = false;
   std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> connections_;
--- a/src/relay.h
+++ b/src/relay.h
@@ -169,6 +169,12 @@
   // stop.
   void RefuseWaiting(TimePoint now);
 
+  // Refuses a request whose body is still arriving if this instance stops too soon for it. Returns
+  // whether it has.
+  bool RefuseEarly(const std::shared_ptr<CallerConnection>& caller,
+                   const MessageHead& head,
+                   TimePoint received);
+
   // Ends all requests, because the process ends. Returns their number.
   std::size_t EndCalls();
 
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -38,6 +38,10 @@
   // Refuses the request if it waits to be placed and this instance stops too soon for it.
   void RefuseIfStopping(TimePoint now);
 
+  // Refuses the request, whose body is still arriving, if this instance stops too soon for it.
+  // Returns whether it has.
+  bool RefuseEarly();
+
   // Ends the request because this instance ends.
   void EndAtStop();
 
--- a/src/relay_stop.cc
+++ b/src/relay_stop.cc
@@ -46,6 +46,14 @@
   ForEachCall([now](RelayCall& call) { call.RefuseIfStopping(now); });
 }
 
+bool Relay::RefuseEarly(const std::shared_ptr<CallerConnection>& caller,
+                        const MessageHead& head,
+                        TimePoint received) {
+  return stop_plan_.stopping() &&
+         std::make_shared<RelayCall>(*this, caller, CallerRequest{head, {}, received})
+             ->RefuseEarly();
+}
+
 std::size_t Relay::EndCalls() {
   const std::size_t count = calls_.size();
   ForEachCall([](RelayCall& call) { call.EndAtStop(); });
@@ -89,6 +97,17 @@
   }
 }
 
+// What the relay would refuse for another reason waits until it is whole.
+bool RelayCall::RefuseEarly() {
+  id_ = std::string(request_.head.Field(relay_.names().request_id));
+  route_ = table_ ? table_->Match(request_.head.Field("Host"), request_.head.target) : nullptr;
+  if (route_ == nullptr || route_->targets.empty() || id_.empty()) {
+    return false;
+  }
+  ReadDeadline();
+  return !PassesStop(BootTimeNow());
+}
+
 // The caller keeps what it has received of its answer: without a reset, the connection delivers
 // what was written, and the framing shows that the rest is missing.
 void RelayCall::EndAtStop() {
--- a/tests/gateway_stop_test.py
+++ b/tests/gateway_stop_test.py
@@ -1,5 +1,5 @@
-"""Runs chiverail_gateway as separate processes against the stand-ins. Tests signals that
-come together or again.
+"""Runs chiverail_gateway as separate processes against the stand-ins. Tests requests that
+are being received when a process stops, and signals that come together.
 
 Usage: gateway_stop_test.py BUILD_DIR
 """
@@ -84,6 +84,27 @@
         self.callers.append(RawCaller(gateway, receive_buffer))
         return self.callers[-1]
 
+    def test_a_body_that_arrives_during_a_stop_is_refused_at_once(self):
+        worker = Worker()
+        gateway = self.start(worker)
+        caller = self.call(gateway)
+        caller.send_head("/stream/x", "Transfer-Encoding: chunked")
+        caller.socket.sendall(b"4\r\nbody\r\n")
+        time.sleep(0.2)
+        gateway.process.send_signal(signal.SIGTERM)
+        begin = time.monotonic()
+        caller.read()
+        self.assertLess(time.monotonic() - begin, 0.5)
+        self.assertTrue(caller.received.startswith(b"HTTP/1.1 503"), caller.received)
+        for _ in range(12):
+            time.sleep(0.1)
+            caller.socket.sendall(b"4\r\nbody\r\n")
+        caller.socket.sendall(b"0\r\n\r\n")
+        caller.read_all()
+        self.assertEqual(caller.received.count(b"HTTP/1.1"), 1)
+        self.assertEqual(worker.received, [])
+        self.assertEqual(gateway.process.wait(WAIT_S), 0)
+
     def test_signals_that_come_together_or_again_cut_no_stream(self):
         for signals in ([signal.SIGHUP, signal.SIGTERM], [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM],
                         [signal.SIGTERM, signal.SIGINT]):
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -91,7 +91,11 @@
                "127.0.0.1:" + std::to_string(kPort),
                [this](const auto& caller, CallerRequest request) {
                  relay.Handle(caller, std::move(request));
-               }) {}
+               }) {
+    front_.SetEarlyRefusal([this](const auto& caller, const MessageHead& head, TimePoint received) {
+      return relay.RefuseEarly(caller, head, received);
+    });
+  }
 
   ~RelayFixture() { std::fclose(log_file_); }
   RelayFixture(const RelayFixture&) = delete;
