Deliver answers that slow callers have not taken at the deadline of a stop

Cause: the relay stops reading from an upstream while its caller has 128 KB unsent. At the deadline of a stop, 0.9 s before the kill, such an answer was cut, however long ago its upstream had written it all (LOST: the upstream was not at work in the last sixth of the grace). What was read but not yet taken by the caller's socket got 0.3 s. Change: from SIGTERM on, answers are read to their ends for slow callers: up to 4 MB for one and 32 MB over the whole stop, an eighth of the memory of an instance; beyond that the reading pauses as before. While bytes wait for callers the process ends 0.6 s after the deadline instead of 0.3 s. Running work still ends at the deadline, and a caller that reads nothing holds the process no longer than that. Up to about 4 MB of an answer are in the sockets' buffers here, so that smaller ones were not cut.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -27,8 +27,10 @@
 // Interval at which a leaving process checks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
 
-// Time for the answers that end requests at the deadline of a stop to be sent.
+// Time for the answers that end requests at the deadline of a stop to be sent, and for those that
+// slow callers have not taken by then.
 constexpr Duration kLastAnswersTime = milliseconds(300);
+constexpr Duration kLastDeliveriesTime = milliseconds(600);
 
 RelayLimits RelayLimitsOf(const GatewaySettings& settings) {
   RelayLimits limits;
@@ -358,8 +360,9 @@
     caller_listener_->RefuseUnread({{relay_.names().retry_after, "0.050"}});
   }
   const bool accepting = passed < settings_.drain_accept;
+  const Duration last = caller_listener_->HasUnsent() ? kLastDeliveriesTime : kLastAnswersTime;
   if (!accepting &&
-      (caller_listener_->in_use() == 0 || passed >= settings_.DrainDeadline() + kLastAnswersTime)) {
+      (caller_listener_->in_use() == 0 || passed >= settings_.DrainDeadline() + last)) {
     log_.Write(Decision::kStop, {{"outcome", "left"}, {"cut_requests", cut_requests_}});
     io_.stop();
     return;
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -102,8 +102,10 @@
       {"stop_grace_s", NumberRow{&S::stop_grace_s, 1, 3600, 8},
        "Seconds after SIGTERM at which the process is killed. The deadline of a stop is 0.9 s "
        "earlier: what still runs then is answered as failed, or broken off if its answer has "
-       "begun, and the process ends within 0.3 s. From SIGTERM on, requests that may last beyond "
-       "the deadline are refused at once as not run, also while their bodies are still arriving."},
+       "begun, and the process ends within 0.3 s, or 0.6 s while callers take the rest of their "
+       "answers. During the stop up to 32 MB, 4 MB each, are held for slow callers in addition. "
+       "From SIGTERM on, requests that may last beyond the deadline are refused at once as not "
+       "run, also while their bodies are still arriving."},
       {"directory_ttl_s", CountRow{&S::directory_ttl_s, 1, 3600, 2},
        "Seconds for which callers may cache a response of the directory."},
       {"retry_ratio", NumberRow{&S::retry_ratio, 0, 1, 0.2},
--- a/src/relay.h
+++ b/src/relay.h
@@ -175,6 +175,11 @@
                    const MessageHead& head,
                    TimePoint received);
 
+  // Returns whether `bytes` of an answer may be held for a slow caller beyond the usual limit: a
+  // stopping instance reads answers to their ends, so that they are not cut with its upstreams'
+  // connections. Holds up to kMaxReadAheadBytes so over the whole stop.
+  bool TryReadAhead(std::size_t bytes);
+
   // Ends all requests, because the process ends. Returns their number.
   std::size_t EndCalls();
 
@@ -225,6 +230,9 @@
   // Maximum number of metric series by route. Operators have added 120 routes in a day.
   static constexpr std::size_t kMaxRouteLabels = 64;
 
+  // An eighth of the memory that an instance may use.
+  static constexpr std::size_t kMaxReadAheadBytes = 32 << 20;
+
   // Queued requests for the slots at one service's upstreams, and the slots in use.
   struct ServiceQueue {
     SlotQueue queue;
@@ -283,6 +291,7 @@
   std::map<UpstreamId, SuspectedEnd> suspected_ends_;  // that are being checked
   StopPlan stop_plan_;
   TimePoint stop_began_at_{};
+  std::size_t read_ahead_bytes_ = 0;
   std::unordered_map<const RelayCall*, std::weak_ptr<RelayCall>> calls_;
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
   std::map<std::string, ServiceQueue> service_queues_;
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -42,6 +42,9 @@
   // Returns whether it has.
   bool RefuseEarly();
 
+  // Goes on reading an answer that was paused because its caller is slow.
+  void ReadOn();
+
   // Ends the request because this instance ends.
   void EndAtStop();
 
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -24,6 +24,9 @@
 // Reading from the upstream pauses once more than this many bytes for the caller are unsent.
 constexpr std::size_t kMaxUnsentBytes = 128 * 1024;
 
+// The same while this instance stops, as long as Relay::TryReadAhead() allows it.
+constexpr std::size_t kMaxUnsentAtStop = 4 << 20;
+
 std::vector<HttpHeader> ResponseFields(const MessageHead& head) {
   const std::string_view connection = head.Field("Connection");
   std::vector<HttpHeader> fields;
@@ -182,7 +185,9 @@
 void RelayCall::RelayBody(std::string_view bytes) {
   caller_->SendBody(bytes);
   relayed_bytes_ += bytes.size();
-  if (caller_->unsent() <= kMaxUnsentBytes || !connection_) {
+  const std::size_t unsent = caller_->unsent();
+  if (unsent <= kMaxUnsentBytes || !connection_ ||
+      (unsent <= kMaxUnsentAtStop && relay_.TryReadAhead(bytes.size()))) {
     return;
   }
   connection_->PauseReading();
--- a/src/relay_stop.cc
+++ b/src/relay_stop.cc
@@ -40,6 +40,7 @@
   stop_plan_.Begin(accept_until, deadline);
   stop_began_at_ = now;
   RefuseWaiting(now);
+  ForEachCall([](RelayCall& call) { call.ReadOn(); });
 }
 
 void Relay::RefuseWaiting(TimePoint now) {
@@ -54,6 +55,14 @@
              ->RefuseEarly();
 }
 
+bool Relay::TryReadAhead(std::size_t bytes) {
+  if (!stop_plan_.stopping() || read_ahead_bytes_ + bytes > kMaxReadAheadBytes) {
+    return false;
+  }
+  read_ahead_bytes_ += bytes;
+  return true;
+}
+
 std::size_t Relay::EndCalls() {
   const std::size_t count = calls_.size();
   ForEachCall([](RelayCall& call) { call.EndAtStop(); });
@@ -108,6 +117,12 @@
   return !PassesStop(BootTimeNow());
 }
 
+void RelayCall::ReadOn() {
+  if (connection_) {
+    connection_->ResumeReading();
+  }
+}
+
 // The caller keeps what it has received of its answer: without a reset, the connection delivers
 // what was written, and the framing shows that the rest is missing.
 void RelayCall::EndAtStop() {
--- a/tests/ended_answer_test.cc
+++ b/tests/ended_answer_test.cc
@@ -82,6 +82,64 @@
   CHECK(fixture.RunFor(seconds(2), [&] { return fixture.front().in_use() == 0; }));
 }
 
+// Guards against answers that are cut at the end of a stop because their callers read slowly, long
+// after their upstreams had ended (LOST).
+TEST_CASE("A stopping instance reads answers to their ends for slow callers") {
+  RelayFixture fixture;
+  fixture.Configure(seconds(5));
+  const std::string body(6 << 20, 'x');
+  fixture.AddUpstream("up-1", [&](const auto& caller, const CallerRequest& request) {
+    caller->Respond(200, {}, FakeUpstream::SealFields(request), body);
+  });
+  const auto stop = [&] {
+    const TimePoint now = BootTimeNow();
+    fixture.front().StartClosing();
+    fixture.relay.BeginStop(now, now + milliseconds(500), now);
+  };
+  RawCaller caller(RelayFixture::kPort, kReceiveBuffer);
+
+  SECTION("that were paused when the stop began") {
+    caller.Write(RelayFixture::Request("/read/x"));
+    fixture.RunFor(milliseconds(300), [] { return false; });
+    CHECK(fixture.front().busy() == 1);
+    stop();
+  }
+  SECTION("that begin during the stop") {
+    fixture.front().StartClosing();
+    const TimePoint now = BootTimeNow();
+    fixture.relay.BeginStop(now, now + seconds(2), now);
+    caller.Write(RelayFixture::Request("/read/x", "", "key", 1500));
+  }
+  fixture.RunFor(milliseconds(500), [] { return false; });
+  CHECK(fixture.relay.EndCalls() == 0);
+  CHECK(fixture.front().HasUnsent());
+  CHECK(fixture.front().in_use() == 1);
+  CHECK(fixture.RunUntil([&] {
+    fixture.front().CloseIdle();
+    return !caller.Read();
+  }));
+  CHECK_FALSE(caller.reset());
+  CHECK(caller.received().size() > body.size());
+}
+
+TEST_CASE("A stopping instance holds a bounded part of an endless answer") {
+  RawFixture fixture([](RawServer& server, int) {
+    server.Send(SealedHead("Transfer-Encoding: chunked"));
+    server.SendForever("10000\r\n" + std::string(0x10000, 'x') + "\r\n");
+  });
+  fixture.Configure(seconds(5));
+  RawCaller caller(RelayFixture::kPort, 4096);
+  caller.Write(RelayFixture::Request("/read/x"));
+  fixture.RunFor(milliseconds(100), [] { return false; });
+  const TimePoint now = BootTimeNow();
+  fixture.relay.BeginStop(now, now + seconds(4), now);
+  fixture.RunFor(seconds(1), [] { return false; });
+  const std::size_t sent = fixture.server.sent();
+  CHECK(sent > 4 << 20);
+  fixture.RunFor(milliseconds(300), [] { return false; });
+  CHECK(fixture.server.sent() == sent);
+}
+
 // Guards against requests that are passed on though their connection already closes (LOST), and
 // against answers that are dropped because their caller has closed its own side.
 TEST_CASE("A connection that closes while its answer is being sent") {
--- a/tests/gateway_stop_test.py
+++ b/tests/gateway_stop_test.py
@@ -1,5 +1,5 @@
-"""Runs chiverail_gateway as separate processes against the stand-ins. Tests requests that
-are being received when a process stops, and signals that come together.
+"""Runs chiverail_gateway as separate processes against the stand-ins. Tests answers that are being sent when a
+process stops, and signals that come together.
 
 Usage: gateway_stop_test.py BUILD_DIR
 """
@@ -16,6 +16,20 @@
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
 
 GRACE_S = 3
+DEADLINE_S = GRACE_S - 0.9  # at which running work is cut
+BODY_BYTES = 6 << 20  # more than the socket buffers hold
+
+
+class LargeWorker(Worker):
+    """Answers each request with a large body."""
+
+    def on_request(self, handler):
+        handler.send_response(200)
+        for name, value in {**handler.seal_fields(), "Content-Length": str(BODY_BYTES)}.items():
+            handler.send_header(name, value)
+        handler.end_headers()
+        handler.wfile.write(b"x" * BODY_BYTES)
+        return False
 
 
 class RawCaller:
@@ -84,6 +98,37 @@
         self.callers.append(RawCaller(gateway, receive_buffer))
         return self.callers[-1]
 
+    def test_an_answer_that_a_slow_caller_has_not_taken_at_the_deadline_is_delivered(self):
+        # LOST: answers whose upstreams had ended long before were cut with the upstreams' connections, or 0.3 s later.
+        worker = LargeWorker()
+        gateway = self.start(worker)
+        callers = [self.call(gateway, 65536) for _ in range(2)]
+        for caller in callers:
+            caller.send_request("/book/x")
+        wait_until(lambda: len(worker.received) == len(callers), "the answers have begun")
+        time.sleep(0.2)
+        gateway.process.send_signal(signal.SIGTERM)
+        begin = time.monotonic()
+        time.sleep(DEADLINE_S + 0.1)
+        readers = [threading.Thread(target=caller.read_all) for caller in callers]
+        for reader in readers:
+            reader.start()
+        for reader in readers:
+            reader.join()
+        self.assertEqual([len(caller.body()) for caller in callers], [BODY_BYTES] * len(callers))
+        self.assertEqual(gateway.process.wait(WAIT_S), 0)
+        self.assertLess(time.monotonic() - begin, GRACE_S)
+
+    def test_a_caller_that_reads_nothing_does_not_hold_a_process_beyond_its_grace(self):
+        gateway = self.start(LargeWorker())
+        caller = self.call(gateway, 4096)
+        caller.send_request("/book/x")
+        time.sleep(0.3)
+        gateway.process.send_signal(signal.SIGTERM)
+        begin = time.monotonic()
+        self.assertEqual(gateway.process.wait(WAIT_S), 0)
+        self.assertLess(time.monotonic() - begin, GRACE_S)
+
     def test_a_body_that_arrives_during_a_stop_is_refused_at_once(self):
         worker = Worker()
         gateway = self.start(worker)
