--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -27,8 +27,10 @@
 // Interval at which a leaving process checks whether its requests have ended.
 constexpr Duration kLeavingCheck = milliseconds(50);
 
-// Time for the answers that end requests at the deadline of a stop to be sent.
+// Time for the answers that end requests at the deadline of a stop to be sent, and for those that
+// slow callers have not taken by then.
 constexpr Duration kLastAnswersTime = milliseconds(300);
+constexpr Duration kLastDeliveriesTime = milliseconds(600);
 
 RelayLimits RelayLimitsOf(const GatewaySettings& settings) {
   RelayLimits limits;
@@ -137,6 +139,10 @@
                                                    : CallerLimits{});
         relay_.Handle(caller, std::move(request));
       });
+  caller_listener_->SetEarlyRefusal(
+      [this](const Caller& caller, const MessageHead& head, TimePoint received) {
+        return relay_.RefuseEarly(caller, head, received);
+      });
   ready_listener_ = std::make_unique<HttpListener>(
       io_, settings_.ready_address, [this](const Caller& caller, const CallerRequest& request) {
         RespondReady(caller, request);
@@ -344,6 +350,7 @@
   const TimePoint now = BootTimeNow();
   const Duration passed = now - leaving_since_;
   relay_.RefuseWaiting(now);
+  caller_listener_->RefuseEarly();
   if (passed >= settings_.drain_accept) {
     caller_listener_->Close();
   }
@@ -353,8 +360,9 @@
     caller_listener_->RefuseUnread({{relay_.names().retry_after, "0.050"}});
   }
   const bool accepting = passed < settings_.drain_accept;
+  const Duration last = caller_listener_->HasUnsent() ? kLastDeliveriesTime : kLastAnswersTime;
   if (!accepting &&
-      (caller_listener_->in_use() == 0 || passed >= settings_.DrainDeadline() + kLastAnswersTime)) {
+      (caller_listener_->in_use() == 0 || passed >= settings_.DrainDeadline() + last)) {
     log_.Write(Decision::kStop, {{"outcome", "left"}, {"cut_requests", cut_requests_}});
     io_.stop();
     return;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "http_listener.h"
 #include "relay.h"
 
 namespace chiverail {
@@ -90,12 +91,18 @@
                "127.0.0.1:" + std::to_string(kPort),
                [this](const auto& caller, CallerRequest request) {
                  relay.Handle(caller, std::move(request));
-               }) {}
+               }) {
+    front_.SetEarlyRefusal([this](const auto& caller, const MessageHead& head, TimePoint received) {
+      return relay.RefuseEarly(caller, head, received);
+    });
+  }
 
   ~RelayFixture() { std::fclose(log_file_); }
   RelayFixture(const RelayFixture&) = delete;
   RelayFixture& operator=(const RelayFixture&) = delete;
 
+  HttpListener& front() { return front_; }
+
   // Lines of the decision log with the given event.
   std::vector<nlohmann::json> Lines(const std::string& event) {
     log_.Flush();
