Add a soak of the users' deployments around SIGTERM

The record shows streams that were reset around SIGTERM, and no test played what it was taken from: 13 or 18 real processes with the sites' routes, times and load, stopped in series.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build test soak demo bench lint format clean
+.PHONY: all install build test soak stop-soak demo bench lint format clean
 
 all: build
 
@@ -20,6 +20,10 @@
 soak: build
 	@python3 tests/soak.py $(BUILD) $(SEEDS) --jobs 4
 
+SITE ?= cdsaa
+stop-soak: build
+	@python3 tests/stop_soak.py $(BUILD) $(SEEDS) --site $(SITE)
+
 demo: build
 	@python3 scripts/demo.py $(BUILD)
 
