Take the reason of a refusal by value

RelayCall::Refuse took its reason as a string_view. Most callers pass last_error_, which Refuse assigns before it makes the body from the view: the body of such a 502 or 503 began with 16 bytes of the allocator, 8 of them an address of the heap.

Change: Refuse takes a string by value and makes the body from last_error_. The functions of the relay, the exchange with other instances and platform/ that take a string_view or a reference, and the loops over containers that call out, were read for the same fault; none was found.

--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -112,7 +112,7 @@
   Duration EventTimeout() const;
 
   void RespondWithFailure(AttemptFailure failure);
-  void Refuse(int status, std::string_view reason, Duration retry_after);
+  void Refuse(int status, std::string reason, Duration retry_after);
   void Finish(std::string_view outcome, int status);
   // Time from the first wait for a slot until the last attempt, or until `now` if there was none.
   Duration QueueTime(TimePoint now) const;
--- a/src/relay_finish.cc
+++ b/src/relay_finish.cc
@@ -52,7 +52,8 @@
   Refuse(status, last_error_, no_upstream_ ? kNoUpstreamRetry + retry_delay : retry_delay);
 }
 
-void RelayCall::Refuse(int status, std::string_view reason, Duration retry_after) {
+// Takes the reason by value: most callers pass last_error_, which is assigned here.
+void RelayCall::Refuse(int status, std::string reason, Duration retry_after) {
   std::vector<HttpHeader> fields;
   if (!id_.empty()) {
     fields.emplace_back(relay_.names().request_id, id_);
@@ -62,8 +63,8 @@
                         fmt::format("{:.3f}", std::chrono::duration<double>(retry_after).count()));
   }
   fields.emplace_back("Content-Type", "text/plain");
-  last_error_ = std::string(reason);
-  caller_->Respond(status, {}, fields, std::string(reason) + "\n");
+  last_error_ = std::move(reason);
+  caller_->Respond(status, {}, fields, last_error_ + "\n");
   Finish("refused", status);
 }
 
