Keep the read buffer of a raw test server until its read has ended

A test of deadly parts destroys its raw server while that reads; the pending read then touched the freed buffer.

Evidence: with -fsanitize=address, "A prompt part under which upstreams end after the first event is kept from the others" stopped with a heap-use-after-free in the read of RawServer. The gateway has no part in it. Change: the handler of the read shares the buffer. Result: with -fsanitize=address the tests of deadly parts and of refusals pass, 145 assertions in 3 test cases.

--- a/tests/raw_fixture.h
+++ b/tests/raw_fixture.h
@@ -88,13 +88,14 @@
   }
 
   void ReadRequest() {
+    // A test may destroy the server while it reads.
     boost::asio::async_read_until(
-        socket_, received_, "\r\n\r\n",
-        [this](const boost::system::error_code& error, std::size_t count) {
+        socket_, *received_, "\r\n\r\n",
+        [this, received = received_](const boost::system::error_code& error, std::size_t count) {
           if (error) {
             return;
           }
-          received_.consume(count);
+          received->consume(count);
           handler_(*this, ++requests_);
           ReadRequest();
         });
@@ -102,7 +103,7 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::streambuf received_;
+  std::shared_ptr<boost::asio::streambuf> received_ = std::make_shared<boost::asio::streambuf>();
   Handler handler_;
   int requests_ = 0;
   int connections_ = 0;
