Make two new tests independent of the pace of the machine

Cause: RunFor counts steps, so its 1,100 and 500 ms lasted longer than the time that the requests had left (a call is sent elsewhere only while 40% of its time is left; a route's 700 ms). Change: the first waits by the clock and has a deadline of 4 s; the second waits for the state that it needs, which must still come. The assertions are the same.

--- a/tests/ended_answer_test.cc
+++ b/tests/ended_answer_test.cc
@@ -76,9 +76,8 @@
   fixture.front().SetLimits(limits);
   RawCaller caller(RelayFixture::kPort, 4096);
   caller.Write(RelayFixture::Request("/chat/x"));
-  fixture.RunFor(milliseconds(500), [] { return false; });
-  CHECK(fixture.front().busy() == 1);
-  CHECK(fixture.front().HasUnsent());
+  CHECK(
+      fixture.RunUntil([&] { return fixture.front().busy() == 1 && fixture.front().HasUnsent(); }));
   CHECK(fixture.RunFor(seconds(2), [&] { return fixture.front().in_use() == 0; }));
 }
 
--- a/tests/silent_upstream_test.cc
+++ b/tests/silent_upstream_test.cc
@@ -184,8 +184,10 @@
   const std::string path = GENERATE("/chat/x", "/read/x");
   SilentFixture fixture(seconds(10));
   CallerResponse response;
-  const auto caller = fixture.Send(fixture.Request(path), response);
-  fixture.RunFor(milliseconds(path == "/chat/x" ? 1400 : 1100), [] { return false; });
+  const TimePoint start = BootTimeNow();
+  const auto caller = fixture.Send(fixture.Request(path, "", "key", 4000), response);
+  const Duration silence = milliseconds(path == "/chat/x" ? 1400 : 1900);
+  fixture.RunUntil([&] { return start + silence <= BootTimeNow(); });
   CHECK_FALSE(response.ended);
   FakeUpstream& other = AddSoundUpstream(fixture);
   CHECK(fixture.RunFor(milliseconds(700), [&] { return response.ended; }));
