Record whether an upstream accepts connections after an answer that ends with its connection

Cause: the log can't tell an answer that is whole from one whose upstream was killed within it: both end with a regular close. Change: after such an answer a new connection is tried; its result stands in an answer_end line and in chiverail_closed_answers_total. What callers get does not change.

--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -77,6 +77,8 @@
      "Streams of upstreams that ended regularly, but inside an event."},
     {Counter::kBrokenUpstreams, "chiverail_broken_upstreams_total", "new_connection",
      "Upstreams whose connections broke before an answer had begun, by what a new one showed."},
+    {Counter::kClosedAnswers, "chiverail_closed_answers_total", "new_connection",
+     "Answers that ended with their connection, by what a new connection to the upstream showed."},
     {Counter::kMalformedTerms, "chiverail_malformed_terms_total", "",
      "Answers of upstreams with a request limit or a rest that can't be read."},
     {Counter::kStopRequests, "chiverail_stop_requests_total", "outcome",
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -42,6 +42,7 @@
   kUpstreamResponses,
   kStreamsEndedInsideEvent,
   kBrokenUpstreams,
+  kClosedAnswers,
   kMalformedTerms,
   kStopRequests,
 };
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -102,6 +102,8 @@
   // Called with the end of a successful answer.
   void OnAnswerEnded();
   void RecordResponseEnd();
+  // Records whether the upstream of an answer that ended with its connection accepts a new one.
+  void CheckClosedAnswer();
   // Why a response that ended regularly is not complete; empty if it is.
   std::string_view IncompleteReason() const;
   void ReleaseUpstream(bool failed);
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -207,6 +207,20 @@
   }
 }
 
+void RelayCall::CheckClosedAnswer() {
+  CheckConnect(relay_.io(), connection_->address(), UpstreamConnection::kConnectTimeout,
+               [self = shared_from_this(), upstream = upstream_id_,
+                bytes = received_bytes_](ConnectResult result) {
+                 const std::string new_connection(NameOf(kConnectResultNames, result));
+                 self->relay_.metrics().Add(Counter::kClosedAnswers, 1, new_connection);
+                 self->relay_.log().Write(Decision::kAnswerEnd,
+                                          {{"request", self->id_},
+                                           {"upstream", upstream},
+                                           {"received_bytes", bytes},
+                                           {"new_connection", new_connection}});
+               });
+}
+
 // An upstream that crashes may close its connection regularly, and then even its response's framing
 // does not show that its stream is incomplete.
 std::string_view RelayCall::IncompleteReason() const {
@@ -224,6 +238,9 @@
 
 void RelayCall::OnEnd() {
   RecordResponseEnd();
+  if (head_->framing == BodyFraming::kClose) {
+    CheckClosedAnswer();
+  }
   if (const std::string_view reason = IncompleteReason(); !reason.empty()) {
     FailAttempt(AttemptFailure::kBroken, std::string(reason));
     return;
