Know the length of a response before any of its body has arrived

The parser took a message's length from Beast's notice of the body, which comes only with the body's first bytes. The relay took the head before that if it arrived alone, so that an answer of more than 64 KB with a length was passed on with "Content-Length: 0" and its body after it (MIXED): the caller took an empty answer for whole and the body for its next answer. The length is now read with the head.

--- a/src/http_message.cc
+++ b/src/http_message.cc
@@ -44,11 +44,7 @@
     head.fields.emplace_back(Text(name), Text(value));
   }
   void on_header_impl(Error&) override {}
-  void on_body_init_impl(const boost::optional<std::uint64_t>& length, Error&) override {
-    if (length) {
-      head.body_length = *length;
-    }
-  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override {}
   std::size_t on_body_impl(View bytes, Error&) override {
     body.append(bytes.data(), bytes.size());
     return bytes.size();
@@ -173,6 +169,10 @@
         if (collector.is_header_done()) {
           collector.head.keep_alive = collector.keep_alive();
           collector.head.framing = FramingOf(collector);
+          // Beast announces the body only with its first bytes, and a head may arrive alone.
+          if (const auto length = collector.content_length()) {
+            collector.head.body_length = *length;
+          }
         }
         return used;
       },
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -37,8 +37,7 @@
   bool keep_alive = true;  // the sender keeps the connection open
   bool http_1_0 = false;   // the sender speaks HTTP/1.0, which has no chunked bodies
   BodyFraming framing = BodyFraming::kLength;
-  // Absent for chunked bodies, bodies that end when the connection closes, and messages without a
-  // body.
+  // The declared length; absent for chunked bodies and bodies that end when the connection closes.
   std::optional<std::uint64_t> body_length;
 
   // Value of the first field called `name`, compared case-insensitively; empty if absent.
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -53,6 +53,12 @@
     CHECK(parser.complete());
     CHECK(parser.TakeBody() == "abc");
   }
+  SECTION("and its declared length is known before any of its body has arrived") {
+    const auto parser =
+        Parse(MessageKind::kResponse, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    REQUIRE(parser.head_complete());
+    CHECK(parser.head().body_length == 9);
+  }
   SECTION("and a message truncated before its declared length fails") {
     auto parser = Parse(MessageKind::kResponse, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
     parser.PutEof();
--- a/tests/response_end_test.cc
+++ b/tests/response_end_test.cc
@@ -38,6 +38,21 @@
 
 }  // namespace
 
+// Guards against "Content-Length: 0" before a body (MIXED): the caller takes the response for whole
+// and its body for the next response.
+TEST_CASE("A large response keeps its length if its head arrives alone") {
+  const std::string large(200 * 1024, 'x');
+  RawFixture fixture([&](RawServer& server, int) { server.Send(WithLength(large.size())); });
+  CallerResponse response;
+  const auto caller = fixture.Send(RelayFixture::Request("/book/x"), response);
+  fixture.RunFor(milliseconds(50), [] { return false; });
+  fixture.server.Send(large);
+  fixture.RunUntil([&] { return response.ended; });
+  CHECK(response.complete);
+  CHECK(response.body.size() == large.size());
+  caller->Close();
+}
+
 // Guards against a response that broke off and reaches its caller as if it were complete.
 TEST_CASE("A response that broke off does not look complete") {
   SECTION("of a plain service") {
