Add a soak of how answers end, with workers and instances as real processes

Nothing played answers that end while they are being sent with a worker of its own process: killed, stopped, reset, closed in one direction or in both, under instances that are paused and callers that read slowly. The judge takes from the workers' own records how each answer was ended, and counts apart the one case that can't be told from a whole answer. Not yet part of the test command, since the code before it fails.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all install build test soak stop-soak demo bench lint format clean
+.PHONY: all install build test soak stop-soak answer-end-soak demo bench lint format clean
 
 all: build
 
@@ -24,6 +24,9 @@
 stop-soak: build
 	@python3 tests/stop_soak.py $(BUILD) $(SEEDS) --site $(SITE)
 
+answer-end-soak: build
+	@python3 tests/answer_end_soak.py $(BUILD) $(SEEDS)
+
 demo: build
 	@python3 scripts/demo.py $(BUILD)
 
