Take a response for whole only if its length or its last chunk says so

The daemon's client took a response without a length or chunks for whole when its connection ended, as the connection of a killed process does. The front passed it on with a Content-Length, and the ledger stored it as the answer of a call that may run once. Such a response now counts as lost: idempotent calls try the next upstream, others are in doubt. Streams of engines have an end line and are read as before.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -111,6 +111,9 @@
     if (error) {
       throw HttpError("response cut: " + error.message(), true);
     }
+    if (parser_->need_eof()) {
+      throw HttpError("response without a length or chunks, which may have been cut", true);
+    }
     auto message = parser_->release();
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -65,7 +65,8 @@
   explicit HttpCall(std::unique_ptr<HttpConnection> connection);
   ~HttpCall();
 
-  // Sends the request and reads the whole response. Throws HttpError.
+  // Sends the request and reads the whole response. Throws HttpError, also if only the end of the
+  // connection marks the end of the response, since a killed process ends it in the same way.
   HttpResponse Send(const std::string& address,
                     const HttpRequest& request,
                     boost::asio::yield_context yield);
@@ -86,7 +87,7 @@
 
   // Sends a request and reads the whole response. If an exchange on a pooled connection fails
   // before the response header, an idempotent request is retried once on a fresh one. Throws
-  // HttpError.
+  // HttpError, as HttpCall::Send.
   HttpResponse Send(const std::string& address,
                     const HttpRequest& request,
                     boost::asio::yield_context yield,
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -38,6 +38,29 @@
   CHECK(ended);
 }
 
+constexpr int kRawServerPort = 18'601;
+
+// Runs `body` as a coroutine against a raw server that answers each request with `bytes` and
+// closes.
+template <typename Body>
+void RunWithRawServer(const std::string& bytes, Body body) {
+  boost::asio::io_context io(1);
+  RawServer server(io, kRawServerPort, [&](RawServer& raw, int) { raw.SendAndClose(bytes); });
+  HttpClient client(io, kShortTimeouts);
+  const std::string address = "127.0.0.1:" + std::to_string(kRawServerPort);
+  bool ended = false;
+  boost::asio::spawn(
+      io,
+      [&](yield_context yield) {
+        body(client, address, yield);
+        ended = true;
+        io.stop();
+      },
+      boost::asio::detached);
+  io.run_for(std::chrono::seconds(10));
+  CHECK(ended);
+}
+
 // Returns whether a failed exchange may have written bytes of its request; nullopt if it succeeded.
 template <typename Operation>
 std::optional<bool> BytesWrittenOnFailure(Operation operation) {
@@ -119,26 +142,12 @@
 
   // Guards against a line that was cut off with its connection and is taken for the stream's last.
   SECTION("a stream without length that is closed inside a line is an error, not an end") {
-    constexpr int kPort = 18'601;
-    boost::asio::io_context io(1);
-    RawServer server(io, kPort, [](RawServer& raw, int) {
-      raw.SendAndClose("HTTP/1.1 200 OK\r\n\r\none\n{\"offset\": 1, \"te");
-    });
-    HttpClient client(io, kShortTimeouts);
-    bool ended = false;
-    boost::asio::spawn(
-        io,
-        [&](yield_context yield) {
-          HttpStream stream =
-              client.Open("127.0.0.1:" + std::to_string(kPort), {"GET", "/", {}, ""}, yield);
-          CHECK(stream.ReadLine(yield) == "one");
-          CHECK(BytesWrittenOnFailure([&] { stream.ReadLine(yield); }) == true);
-          ended = true;
-          io.stop();
-        },
-        boost::asio::detached);
-    io.run_for(std::chrono::seconds(10));
-    CHECK(ended);
+    RunWithRawServer("HTTP/1.1 200 OK\r\n\r\none\n{\"offset\": 1, \"te",
+                     [](auto& client, auto& address, auto yield) {
+                       HttpStream stream = client.Open(address, {"GET", "/", {}, ""}, yield);
+                       CHECK(stream.ReadLine(yield) == "one");
+                       CHECK(BytesWrittenOnFailure([&] { stream.ReadLine(yield); }) == true);
+                     });
   }
 
   SECTION("a stream that is closed before its end is an error, not an end") {
@@ -154,3 +163,24 @@
     });
   }
 }
+
+// Guards against an answer that was cut off with its connection and is passed on or stored as whole
+// (MIXED).
+TEST_CASE("The HTTP client takes a response for whole only if the response says so") {
+  const HttpRequest request{"POST", "/", {}, "x"};
+  SECTION("by a length or its last chunk") {
+    const std::string body = GENERATE("Content-Length: 3\r\n\r\none",
+                                      "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n");
+    RunWithRawServer("HTTP/1.1 200 OK\r\n" + body, [&](auto& client, auto& address, auto yield) {
+      CHECK(client.Send(address, request, yield).body == "one");
+      CHECK(client.Prepare(address, yield)->Send(address, request, yield).body == "one");
+    });
+  }
+  SECTION("not by the end of its connection, which also ends the answers of a killed process") {
+    RunWithRawServer("HTTP/1.1 200 OK\r\n\r\non", [&](auto& client, auto& address, auto yield) {
+      CHECK(BytesWrittenOnFailure([&] { client.Send(address, request, yield); }) == true);
+      CHECK(BytesWrittenOnFailure(
+                [&] { client.Prepare(address, yield)->Send(address, request, yield); }) == true);
+    });
+  }
+}
