Show callers of HTTP/1.0 that a stream has broken off

The daemon sent chunks to callers that don't know them, and when it aborted a stream or its handler failed it closed the connection regularly, which is how HTTP/1.0 marks a whole response. These callers now get the lines as they are, and the connection is reset unless the stream has ended; the reset is set up with the head, so that the kernel does it for a killed instance as well. That last case has no test. The new test failed in 4 checks before (chunked head and body; no reset in both ways to break off) and passes now (aarch64).

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include <set>
+#include <utility>
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -28,17 +29,23 @@
   }
 }
 
+// What a request says about its connection.
+struct CallerTerms {
+  bool keep_alive = false;
+  bool http_1_0 = false;  // the caller doesn't know chunks
+};
+
 // A request and its response on a server connection.
 class ServerExchange final : public HttpServerExchange {
  public:
   ServerExchange(beast::tcp_stream& stream,
                  HttpRequest request,
-                 bool keep_alive,
+                 CallerTerms terms,
                  Duration write_limit,
                  asio::yield_context yield)
       : stream_(stream),
         request_(std::move(request)),
-        keep_alive_(keep_alive),
+        terms_(terms),
         write_limit_(write_limit),
         yield_(yield) {}
 
@@ -60,7 +67,7 @@
     for (const auto& [name, value] : headers) {
       response.set(name, value);
     }
-    response.keep_alive(keep_alive_);
+    response.keep_alive(terms_.keep_alive);
     response.body() = body;
     response.prepare_payload();
     boost::system::error_code error;
@@ -73,8 +80,13 @@
     started_ = true;
     http::response<http::empty_body> response(static_cast<http::status>(status), 11);
     response.set(http::field::content_type, "application/x-ndjson");
-    response.keep_alive(keep_alive_);
-    response.chunked(true);
+    if (terms_.http_1_0) {
+      ends_with_connection_ = true;
+      terms_.keep_alive = false;
+      SetResetOnClose(true);
+    }
+    response.keep_alive(terms_.keep_alive);
+    response.chunked(!terms_.http_1_0);
     http::response_serializer<http::empty_body> serializer(response);
     boost::system::error_code error;
     stream_.expires_after(write_limit_);
@@ -86,11 +98,19 @@
     const std::string text = line + "\n";
     boost::system::error_code error;
     stream_.expires_after(write_limit_);
-    asio::async_write(stream_, http::make_chunk(asio::buffer(text)), yield_[error]);
+    if (ends_with_connection_) {
+      asio::async_write(stream_, asio::buffer(text), yield_[error]);
+    } else {
+      asio::async_write(stream_, http::make_chunk(asio::buffer(text)), yield_[error]);
+    }
     ThrowIfFailed(error);
   }
 
   void EndStream() override {
+    if (std::exchange(ends_with_connection_, false)) {
+      SetResetOnClose(false);
+      return;
+    }
     boost::system::error_code error;
     stream_.expires_after(write_limit_);
     asio::async_write(stream_, http::make_chunk_last(), yield_[error]);
@@ -98,20 +118,31 @@
   }
 
   void Abort() override {
-    keep_alive_ = false;
+    terms_.keep_alive = false;
     stream_.close();
   }
 
   bool started() const override { return started_; }
-  bool keep_alive() const { return keep_alive_; }
+  bool keep_alive() const { return terms_.keep_alive; }
+
+  // True while a regular close would end the stream as if it were complete.
+  bool ends_with_connection() const { return ends_with_connection_; }
 
  private:
+  // With a reset on close, the caller sees that the response is incomplete even if this process is
+  // killed.
+  void SetResetOnClose(bool reset) {
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+  }
+
   beast::tcp_stream& stream_;
   HttpRequest request_;
-  bool keep_alive_;
+  CallerTerms terms_;
   Duration write_limit_;
   asio::yield_context yield_;
   bool started_ = false;
+  bool ends_with_connection_ = false;
 };
 
 HttpRequest FromWire(http::request<http::string_body>&& wire) {
@@ -225,8 +256,8 @@
     if (error) {
       return false;
     }
-    const bool keep_alive = parser.get().keep_alive() && !stopping_;
-    ServerExchange exchange(stream, FromWire(parser.release()), keep_alive, limits_.write, yield);
+    const CallerTerms terms{parser.get().keep_alive() && !stopping_, parser.get().version() < 11};
+    ServerExchange exchange(stream, FromWire(parser.release()), terms, limits_.write, yield);
     return Handle(exchange, yield);
   }
 
@@ -243,11 +274,14 @@
       reusable = false;
     }
     --active_;
+    if (exchange.ends_with_connection()) {
+      exchange.Abort();
+    }
     return reusable && exchange.keep_alive();
   }
 
   bool RefuseLargeBody(beast::tcp_stream& stream, asio::yield_context yield) {
-    ServerExchange exchange(stream, {}, false, limits_.write, yield);
+    ServerExchange exchange(stream, {}, {}, limits_.write, yield);
     try {
       exchange.Respond(413,
                        R"({"code":"body_too_large","message":"the body is over the limit of )" +
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -32,17 +32,18 @@
                          const std::string& content_type,
                          const std::vector<HttpHeader>& headers) = 0;
 
-  // Sends the header of a chunked response of newline-separated JSON.
+  // Sends the header of a response of newline-separated JSON, in chunks unless the caller speaks
+  // HTTP/1.0.
   virtual void StartStream(int status) = 0;
 
   // Sends one line followed by a newline.
   virtual void WriteLine(const std::string& line) = 0;
 
-  // Sends the end of a chunked response.
+  // Marks the response as complete.
   virtual void EndStream() = 0;
 
-  // Closes the connection without the final chunk, so that the caller detects an incomplete
-  // response.
+  // Closes the connection without the final chunk, or with a reset if there are no chunks, so that
+  // the caller detects an incomplete response.
   virtual void Abort() = 0;
 
   // True once a response has been started.
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -7,6 +7,7 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "raw_caller.h"
 #include "raw_fixture.h"
 
 using namespace chiverail;
@@ -61,6 +62,27 @@
   CHECK(ended);
 }
 
+// What a raw caller has received from a server when its connection ends or nothing more arrives.
+struct RawExchange {
+  RawExchange(HttpHandler handler, const std::string& request) {
+    boost::asio::io_context io(1);
+    HttpServer server(io, "127.0.0.1:0", {}, std::move(handler));
+    RawCaller caller(SplitAddress(server.address()).second);
+    caller.Write(request);
+    for (int step = 0; step < 100 && caller.Read(); ++step) {
+      io.restart();
+      io.run_for(milliseconds(5));
+    }
+    received = caller.received();
+    ended = caller.ended();
+    reset = caller.reset();
+  }
+
+  std::string received;
+  bool ended = false;
+  bool reset = false;
+};
+
 // Returns whether a failed exchange may have written bytes of its request; nullopt if it succeeded.
 template <typename Operation>
 std::optional<bool> BytesWrittenOnFailure(Operation operation) {
@@ -184,3 +206,37 @@
     });
   }
 }
+
+// Guards against streams that break off and look complete to callers that don't know chunks.
+TEST_CASE("A stream for a caller of HTTP/1.0") {
+  const std::string request = "GET / HTTP/1.0\r\n\r\n";
+  SECTION("has no chunks and ends with its connection") {
+    const auto whole = [](HttpServerExchange& exchange, yield_context) {
+      exchange.StartStream(200);
+      exchange.WriteLine("one");
+      exchange.EndStream();
+    };
+    const RawExchange exchange(whole, request);
+    CHECK(exchange.received.find("chunked") == std::string::npos);
+    CHECK(exchange.received.substr(exchange.received.find("\r\n\r\n")) == "\r\n\r\none\n");
+    CHECK(exchange.ended);
+    CHECK_FALSE(exchange.reset);
+  }
+  SECTION("is reset if it breaks off") {
+    const bool throws = GENERATE(false, true);
+    const auto cut = [throws](HttpServerExchange& exchange, yield_context yield) {
+      exchange.StartStream(200);
+      exchange.WriteLine("one");
+      boost::asio::steady_timer timer(yield.get_executor(), milliseconds(50));
+      timer.async_wait(yield);
+      if (throws) {
+        throw HttpError("broken", true);
+      }
+      exchange.Abort();
+    };
+    const RawExchange exchange(cut, request);
+    CHECK(exchange.received.find("one\n") != std::string::npos);
+    CHECK(exchange.ended);
+    CHECK(exchange.reset);
+  }
+}
