Send no body in a response to HEAD

The daemon answered HEAD requests, which it refuses, with the body of the refusal. On a kept connection the caller takes these bytes for the begin of its next response. The head is now sent alone, with the length that the body would have.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -70,9 +70,14 @@
     response.keep_alive(terms_.keep_alive);
     response.body() = body;
     response.prepare_payload();
+    http::response_serializer<http::string_body> serializer(response);
     boost::system::error_code error;
     stream_.expires_after(write_limit_);
-    http::async_write(stream_, response, yield_[error]);
+    if (request_.method == "HEAD") {
+      http::async_write_header(stream_, serializer, yield_[error]);
+    } else {
+      http::async_write(stream_, serializer, yield_[error]);
+    }
     ThrowIfFailed(error);
   }
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -240,3 +240,14 @@
     CHECK(exchange.reset);
   }
 }
+
+// Guards against a body that the caller takes for the begin of its next response.
+TEST_CASE("A response to HEAD has no body") {
+  const auto handler = [](HttpServerExchange& exchange, yield_context) {
+    exchange.Respond(404, "{\"code\":\"not_found\"}");
+  };
+  const RawExchange exchange(handler, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(exchange.received.find("Content-Length: 20") != std::string::npos);
+  CHECK(exchange.received.find("not_found") == std::string::npos);
+  CHECK_FALSE(exchange.ended);
+}
