--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -7,6 +7,7 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "raw_caller.h"
 #include "raw_fixture.h"
 
 using namespace chiverail;
@@ -38,6 +39,50 @@
   CHECK(ended);
 }
 
+constexpr int kRawServerPort = 18'601;
+
+// Runs `body` as a coroutine against a raw server that answers each request with `bytes` and
+// closes.
+template <typename Body>
+void RunWithRawServer(const std::string& bytes, Body body) {
+  boost::asio::io_context io(1);
+  RawServer server(io, kRawServerPort, [&](RawServer& raw, int) { raw.SendAndClose(bytes); });
+  HttpClient client(io, kShortTimeouts);
+  const std::string address = "127.0.0.1:" + std::to_string(kRawServerPort);
+  bool ended = false;
+  boost::asio::spawn(
+      io,
+      [&](yield_context yield) {
+        body(client, address, yield);
+        ended = true;
+        io.stop();
+      },
+      boost::asio::detached);
+  io.run_for(std::chrono::seconds(10));
+  CHECK(ended);
+}
+
+// What a raw caller has received from a server when its connection ends or nothing more arrives.
+struct RawExchange {
+  RawExchange(HttpHandler handler, const std::string& request) {
+    boost::asio::io_context io(1);
+    HttpServer server(io, "127.0.0.1:0", {}, std::move(handler));
+    RawCaller caller(SplitAddress(server.address()).second);
+    caller.Write(request);
+    for (int step = 0; step < 100 && caller.Read(); ++step) {
+      io.restart();
+      io.run_for(milliseconds(5));
+    }
+    received = caller.received();
+    ended = caller.ended();
+    reset = caller.reset();
+  }
+
+  std::string received;
+  bool ended = false;
+  bool reset = false;
+};
+
 // Returns whether a failed exchange may have written bytes of its request; nullopt if it succeeded.
 template <typename Operation>
 std::optional<bool> BytesWrittenOnFailure(Operation operation) {
@@ -119,26 +164,12 @@
 
   // Guards against a line that was cut off with its connection and is taken for the stream's last.
   SECTION("a stream without length that is closed inside a line is an error, not an end") {
-    constexpr int kPort = 18'601;
-    boost::asio::io_context io(1);
-    RawServer server(io, kPort, [](RawServer& raw, int) {
-      raw.SendAndClose("HTTP/1.1 200 OK\r\n\r\none\n{\"offset\": 1, \"te");
-    });
-    HttpClient client(io, kShortTimeouts);
-    bool ended = false;
-    boost::asio::spawn(
-        io,
-        [&](yield_context yield) {
-          HttpStream stream =
-              client.Open("127.0.0.1:" + std::to_string(kPort), {"GET", "/", {}, ""}, yield);
-          CHECK(stream.ReadLine(yield) == "one");
-          CHECK(BytesWrittenOnFailure([&] { stream.ReadLine(yield); }) == true);
-          ended = true;
-          io.stop();
-        },
-        boost::asio::detached);
-    io.run_for(std::chrono::seconds(10));
-    CHECK(ended);
+    RunWithRawServer("HTTP/1.1 200 OK\r\n\r\none\n{\"offset\": 1, \"te",
+                     [](auto& client, auto& address, auto yield) {
+                       HttpStream stream = client.Open(address, {"GET", "/", {}, ""}, yield);
+                       CHECK(stream.ReadLine(yield) == "one");
+                       CHECK(BytesWrittenOnFailure([&] { stream.ReadLine(yield); }) == true);
+                     });
   }
 
   SECTION("a stream that is closed before its end is an error, not an end") {
@@ -154,3 +185,69 @@
     });
   }
 }
+
+// Guards against an answer that was cut off with its connection and is passed on or stored as whole
+// (MIXED).
+TEST_CASE("The HTTP client takes a response for whole only if the response says so") {
+  const HttpRequest request{"POST", "/", {}, "x"};
+  SECTION("by a length or its last chunk") {
+    const std::string body = GENERATE("Content-Length: 3\r\n\r\none",
+                                      "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n");
+    RunWithRawServer("HTTP/1.1 200 OK\r\n" + body, [&](auto& client, auto& address, auto yield) {
+      CHECK(client.Send(address, request, yield).body == "one");
+      CHECK(client.Prepare(address, yield)->Send(address, request, yield).body == "one");
+    });
+  }
+  SECTION("not by the end of its connection, which also ends the answers of a killed process") {
+    RunWithRawServer("HTTP/1.1 200 OK\r\n\r\non", [&](auto& client, auto& address, auto yield) {
+      CHECK(BytesWrittenOnFailure([&] { client.Send(address, request, yield); }) == true);
+      CHECK(BytesWrittenOnFailure(
+                [&] { client.Prepare(address, yield)->Send(address, request, yield); }) == true);
+    });
+  }
+}
+
+// Guards against streams that break off and look complete to callers that don't know chunks.
+TEST_CASE("A stream for a caller of HTTP/1.0") {
+  const std::string request = "GET / HTTP/1.0\r\n\r\n";
+  SECTION("has no chunks and ends with its connection") {
+    const auto whole = [](HttpServerExchange& exchange, yield_context) {
+      exchange.StartStream(200);
+      exchange.WriteLine("one");
+      exchange.EndStream();
+    };
+    const RawExchange exchange(whole, request);
+    CHECK(exchange.received.find("chunked") == std::string::npos);
+    CHECK(exchange.received.substr(exchange.received.find("\r\n\r\n")) == "\r\n\r\none\n");
+    CHECK(exchange.ended);
+    CHECK_FALSE(exchange.reset);
+  }
+  SECTION("is reset if it breaks off") {
+    const bool throws = GENERATE(false, true);
+    const auto cut = [throws](HttpServerExchange& exchange, yield_context yield) {
+      exchange.StartStream(200);
+      exchange.WriteLine("one");
+      boost::asio::steady_timer timer(yield.get_executor(), milliseconds(50));
+      timer.async_wait(yield);
+      if (throws) {
+        throw HttpError("broken", true);
+      }
+      exchange.Abort();
+    };
+    const RawExchange exchange(cut, request);
+    CHECK(exchange.received.find("one\n") != std::string::npos);
+    CHECK(exchange.ended);
+    CHECK(exchange.reset);
+  }
+}
+
+// Guards against a body that the caller takes for the begin of its next response.
+TEST_CASE("A response to HEAD has no body") {
+  const auto handler = [](HttpServerExchange& exchange, yield_context) {
+    exchange.Respond(404, "{\"code\":\"not_found\"}");
+  };
+  const RawExchange exchange(handler, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(exchange.received.find("Content-Length: 20") != std::string::npos);
+  CHECK(exchange.received.find("not_found") == std::string::npos);
+  CHECK_FALSE(exchange.ended);
+}
