Serve answers without a length in the daemon while their sender goes on

Seen: since the daemon takes no answer of a plain service that has neither a length nor chunks; a service that answers so could not be used. Cause: the end of the connection alone does not show a cut, and was taken for one in all cases. Change: as in the gateway, a new connection is tried after such an answer; if it is refused or times out, the answer counts as lost.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -69,7 +69,7 @@
 class HttpConnection {
  public:
   HttpConnection(const asio::any_io_executor& executor, const HttpTimeouts& timeouts)
-      : stream_(executor), timeouts_(timeouts) {}
+      : stream_(executor), check_stream_(executor), timeouts_(timeouts) {}
 
   // Connects to an IP address and port.
   void Connect(const std::string& address, asio::yield_context yield) {
@@ -79,8 +79,9 @@
     if (error) {
       throw HttpError("not an IP address: " + host, false);
     }
+    endpoint_ = tcp::endpoint(ip, port);
     stream_.expires_after(timeouts_.connect);
-    stream_.async_connect(tcp::endpoint(ip, port), yield[error]);
+    stream_.async_connect(endpoint_, yield[error]);
     if (error) {
       throw HttpError("cannot connect to " + address + ": " + error.message(), false);
     }
@@ -112,7 +113,7 @@
       throw HttpError("response cut: " + error.message(), true);
     }
     if (parser_->need_eof()) {
-      throw HttpError("response without a length or chunks, which may have been cut", true);
+      CheckPeerAccepts(yield);
     }
     auto message = parser_->release();
     HttpResponse response;
@@ -154,9 +155,22 @@
     boost::system::error_code ignored;
     stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     stream_.close();
+    check_stream_.close();
   }
 
  private:
+  // A response that only the end of its connection ends is whole if its sender goes on: the
+  // connections of a killed process end in the same way.
+  void CheckPeerAccepts(asio::yield_context yield) {
+    boost::system::error_code error;
+    check_stream_.expires_after(timeouts_.connect);
+    check_stream_.async_connect(endpoint_, yield[error]);
+    if (error) {
+      throw HttpError("response cut: its sender has ended: " + error.message(), true);
+    }
+    check_stream_.close();
+  }
+
   void ReadSome(asio::yield_context yield) {
     boost::system::error_code error;
     stream_.expires_after(timeouts_.gap);
@@ -190,6 +204,8 @@
   }
 
   beast::tcp_stream stream_;
+  beast::tcp_stream check_stream_;  // of CheckPeerAccepts()
+  tcp::endpoint endpoint_;
   HttpTimeouts timeouts_;
   beast::flat_buffer buffer_;
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -66,7 +66,7 @@
   ~HttpCall();
 
   // Sends the request and reads the whole response. Throws HttpError, also if only the end of the
-  // connection marks the end of the response, since a killed process ends it in the same way.
+  // connection marks the end of the response and the server accepts no new connection.
   HttpResponse Send(const std::string& address,
                     const HttpRequest& request,
                     boost::asio::yield_context yield);
