--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -105,6 +105,19 @@
   }
   const std::map<std::string, TableRow>& rows() const { return rows_; }
 
+  // A copy of the table as of some time.
+  struct Copy {
+    std::uint64_t version = 0;
+    std::map<std::string, TableRow> rows;
+  };
+  Copy Save() const { return {version_, rows_}; }
+
+  // The table comes back from a copy and gives the versions after it out again.
+  void Restore(const Copy& copy) {
+    version_ = copy.version;
+    rows_ = copy.rows;
+  }
+
  private:
   std::uint64_t version_ = 0;
   std::map<std::string, TableRow> rows_;
