Tell versions of two eras of the table apart

Cause: after a restore the table gives versions out again, and a conditional write of before it holds over another row: two claims of one call. Change: every answer of the table states its era, and VersionInEra joins era and version in the platform client; conditions name the era. A table without eras is in era 0, and a former build's conditions, which name none, are read as before. The stand-in saves and restores its table (POST /fault with save_table, restore_table).

--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -22,10 +22,16 @@
   return json::parse(body, nullptr, false);
 }
 
-TableRow RowFromJson(const std::string& key, const json& document) {
+// Every answer of the table states its era; one without a statement is of era 0.
+TableEra EraFromJson(const json& document) {
+  return document.is_object() ? document.value("era", TableEra{0}) : 0;
+}
+
+TableRow RowFromJson(const std::string& key, TableEra era, const json& document) {
   TableRow row;
   row.key = key;
-  row.version = document.value("version", std::uint64_t{0});
+  row.version = VersionInEra(era, document.value("version", std::uint64_t{0}));
+  row.era = era;
   row.value = document.contains("value") ? document["value"].dump() : "";
   return row;
 }
@@ -33,7 +39,11 @@
 json TransactionToJson(const TableTransaction& transaction) {
   json document = {{"if", json::array()}, {"put", json::array()}, {"delete", transaction.deletes}};
   for (const TableCondition& condition : transaction.conditions) {
-    document["if"].push_back({{"key", condition.key}, {"version", condition.version}});
+    json held = {{"key", condition.key}, {"version", VersionWithoutEra(condition.version)}};
+    if (condition.version != 0) {
+      held["era"] = EraOfVersion(condition.version);
+    }
+    document["if"].push_back(std::move(held));
   }
   for (const TablePut& put : transaction.puts) {
     document["put"].push_back({{"key", put.key}, {"value", json::parse(put.value)}});
@@ -81,7 +91,8 @@
     if (!named.contains(put.key)) {
       return {};
     }
-    versions.push_back({put.key, named[put.key].get<std::uint64_t>()});
+    versions.push_back(
+        {put.key, VersionInEra(EraFromJson(answer), named[put.key].get<std::uint64_t>())});
   }
   return versions;
 }
@@ -94,12 +105,12 @@
 TableReadResult PlatformClient::ReadRow(const std::string& key, boost::asio::yield_context yield) {
   try {
     const auto response = http_.Send(address_, {"GET", "/table/" + key, {}, ""}, yield);
+    const json document = ParseBody(response.body);
     if (response.status == kNotFound) {
-      return {TableStatus::kOk, {key, 0, ""}};
+      return {TableStatus::kOk, {key, 0, "", EraFromJson(document)}};
     }
-    const json document = ParseBody(response.body);
     if (response.status == kOk && document.is_object()) {
-      return {TableStatus::kOk, RowFromJson(key, document)};
+      return {TableStatus::kOk, RowFromJson(key, EraFromJson(document), document)};
     }
   } catch (const std::exception& error) {
     LogFailure("read of row " + key, error);
@@ -118,7 +129,7 @@
       return result;
     }
     for (const json& row : document.at("rows")) {
-      result.rows.push_back(RowFromJson(row.value("key", ""), row));
+      result.rows.push_back(RowFromJson(row.value("key", ""), EraFromJson(document), row));
     }
     result.status = TableStatus::kOk;
   } catch (const std::exception& error) {
--- a/src/table_types.h
+++ b/src/table_types.h
@@ -5,16 +5,18 @@
 #include <string>
 #include <vector>
 
+#include "table_era.h"
 #include "types.h"
 
 namespace chiverail {
 
 // One row of the platform's table. Version 0 means that the row does not exist; the version grows
-// with each write.
+// with each write and across restores of the table (see VersionInEra).
 struct TableRow {
   std::string key;
   std::uint64_t version = 0;
   std::string value;  // JSON text
+  TableEra era = 0;   // of the table when the row was read, also if the row does not exist
 };
 
 // A condition of a transaction: the row must have exactly this version.
--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -46,14 +46,31 @@
 };
 
 // Table of versioned rows. All versions come from one counter, so each write increases the version.
+// After a restore the versions since the copy are given out again, in the next era.
 class Table {
  public:
+  std::uint64_t era() const { return era_; }
+
+  void Save() {
+    saved_rows_ = rows_;
+    saved_version_ = last_version_;
+  }
+
+  void Restore() {
+    ++era_;
+    rows_ = saved_rows_;
+    last_version_ = saved_version_;
+  }
+
   json Read(const std::string& key) const {
     const auto found = rows_.find(key);
     if (found == rows_.end()) {
       return {};
     }
-    return {{"key", key}, {"version", found->second.version}, {"value", found->second.value}};
+    return {{"key", key},
+            {"version", found->second.version},
+            {"value", found->second.value},
+            {"era", era_}};
   }
 
   json Scan(const std::string& prefix) const {
@@ -64,13 +81,15 @@
       }
       rows.push_back(Read(it->first));
     }
-    return {{"rows", rows}};
+    return {{"rows", rows}, {"era", era_}};
   }
 
   // Applies all writes of the transaction, or none if a condition fails. Returns nullopt then.
   std::optional<json> Write(const json& transaction) {
     for (const json& condition : transaction.value("if", json::array())) {
-      if (VersionOf(condition.at("key")) != condition.at("version").get<std::uint64_t>()) {
+      const bool other_era = condition.value("era", era_) != era_;
+      if (other_era ||
+          VersionOf(condition.at("key")) != condition.at("version").get<std::uint64_t>()) {
         return std::nullopt;
       }
     }
@@ -83,7 +102,7 @@
     for (const json& key : transaction.value("delete", json::array())) {
       rows_.erase(key.get<std::string>());
     }
-    return json{{"versions", versions}};
+    return json{{"versions", versions}, {"era", era_}};
   }
 
  private:
@@ -99,6 +118,9 @@
 
   std::map<std::string, Row> rows_;
   std::uint64_t last_version_ = 0;
+  std::map<std::string, Row> saved_rows_;
+  std::uint64_t saved_version_ = 0;
+  std::uint64_t era_ = 0;
 };
 
 // The list of instances and upstreams. Each change becomes visible to readers after the lag.
@@ -202,7 +224,8 @@
       return;
     }
     const json row = table_.Read(PercentDecode(target.path.substr(7)));
-    exchange.Respond(row.empty() ? 404 : 200, row.empty() ? "{}" : row.dump());
+    exchange.Respond(row.empty() ? 404 : 200,
+                     row.empty() ? json{{"era", table_.era()}}.dump() : row.dump());
   }
 
   void WriteTable(HttpServerExchange& exchange) {
@@ -282,6 +305,12 @@
     faults_.slow_ms = body.value("slow_ms", faults_.slow_ms);
     faults_.lose_answer_share = body.value("lose_answer_share", faults_.lose_answer_share);
     faults_.lose_next_answers = body.value("lose_next_answers", faults_.lose_next_answers);
+    if (body.value("save_table", false)) {
+      table_.Save();
+    }
+    if (body.value("restore_table", false)) {
+      table_.Restore();
+    }
     exchange.Respond(200, "{}");
   }
 
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -67,7 +67,10 @@
       return {};
     }
     const auto found = rows_.find(key);
-    return {TableStatus::kOk, found == rows_.end() ? TableRow{key, 0, ""} : found->second};
+    TableRow row = found == rows_.end() ? TableRow{key, 0, ""} : found->second;
+    row.version = VersionInEra(era_, row.version);
+    row.era = era_;
+    return {TableStatus::kOk, row};
   }
 
   TableWriteResult Write(const TableTransaction& transaction) {
@@ -77,14 +80,15 @@
     }
     for (const TableCondition& condition : transaction.conditions) {
       const auto found = rows_.find(condition.key);
-      if ((found == rows_.end() ? 0 : found->second.version) != condition.version) {
+      const std::uint64_t version = found == rows_.end() ? 0 : found->second.version;
+      if (VersionInEra(era_, version) != condition.version) {
         return {TableStatus::kConflict, {}};
       }
     }
     TableWriteResult result{TableStatus::kOk, {}};
     for (const TablePut& put : transaction.puts) {
       rows_[put.key] = {put.key, ++version_, put.value};
-      result.versions.push_back({put.key, version_});
+      result.versions.push_back({put.key, VersionInEra(era_, version_)});
     }
     for (const std::string& key : transaction.deletes) {
       rows_.erase(key);
@@ -114,11 +118,13 @@
 
   // The table comes back from a copy and gives the versions after it out again.
   void Restore(const Copy& copy) {
+    ++era_;
     version_ = copy.version;
     rows_ = copy.rows;
   }
 
  private:
+  TableEra era_ = 0;
   std::uint64_t version_ = 0;
   std::map<std::string, TableRow> rows_;
 };
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -50,7 +50,8 @@
       R"({"rows": [7, null, "x"]})", R"({"rows": [{"key": 5}]})", R"({"versions": []})",
       R"({"versions": {"k": "one"}})", R"({"versions": "k"})",
       R"({"instances": {"id": 1}, "upstreams": [7]})", R"({"instances": [{"id": []}]})",
-      R"({"sequence": []})");
+      R"({"sequence": []})", R"({"version": 1, "value": {}, "era": []})",
+      R"({"rows": [], "era": "x"})", R"({"versions": {"k": 1}, "era": {"a": 1}})");
   INFO(answer);
   CHECK(EndsAgainst(
       answer, [](PlatformClient& client, yield_context yield) { client.ReadRow("k", yield); }));
@@ -66,3 +67,49 @@
   CHECK(EndsAgainst(answer,
                     [](PlatformClient& client, yield_context yield) { client.ReadList(yield); }));
 }
+
+// Guards against conditions that hold in a later life of the table, which gives versions out again.
+TEST_CASE("The platform client tells versions of two eras of the table apart") {
+  boost::asio::io_context io(1);
+  std::string answer = R"({"version": 7, "value": {}, "era": 3})";
+  int status = 200;
+  std::string written;
+  HttpServer server(io, "127.0.0.1:0", {}, [&](HttpServerExchange& exchange, yield_context) {
+    written = exchange.request().body;
+    exchange.Respond(status, answer);
+  });
+  HttpClient http(io, kShortTimeouts);
+  PlatformClient client(http, server.address());
+  bool ended = false;
+  boost::asio::spawn(
+      io,
+      [&](yield_context yield) {
+        const TableRow row = client.ReadRow("k", yield).row;
+        CHECK(row.era == 3);
+        CHECK(row.version == VersionInEra(3, 7));
+        CHECK(row.version > VersionInEra(2, 1'000'000'000));
+
+        answer = R"({"versions": {"k": 8}, "era": 3})";
+        const auto result = client.Write({{{"k", row.version}}, {{"k", "{}"}}, {}}, yield);
+        CHECK(written.find(R"("era":3)") != std::string::npos);
+        CHECK(written.find(R"("version":7)") != std::string::npos);
+        REQUIRE(result.versions.size() == 1);
+        CHECK(result.versions[0].version == VersionInEra(3, 8));
+
+        client.Write({{{"k", 0}}, {{"k", "{}"}}, {}}, yield);
+        CHECK(written.find("era") == std::string::npos);
+
+        answer = R"({"rows": [{"key": "k", "version": 7, "value": {}}], "era": 4})";
+        CHECK(client.ReadPrefix("k", yield).rows.at(0).version == VersionInEra(4, 7));
+
+        status = 404;
+        answer = R"({"era": 5})";
+        CHECK(client.ReadRow("k", yield).row.era == 5);
+        CHECK(client.ReadRow("k", yield).row.version == 0);
+        ended = true;
+        io.stop();
+      },
+      [&](const std::exception_ptr&) { io.stop(); });
+  io.run_for(std::chrono::seconds(10));
+  CHECK(ended);
+}
