Look for the end of an upstream only once its process has closed all its sockets

Seen: in the soak of ends, 2 of 10 plays had an answer of a killed worker that looked complete; the new connection had been accepted. Cause: the kernel closes the sockets of a killed process one after the other, the one that listens last; the check came between. Change: the check waits for 30 ms, in the daemon's client as well. The soak counts a worker as alive after an answer's end also if it accepted a connection after it: the worker itself records that, and 3 of its reports had been of workers killed within a second after a regular end.

--- a/src/connect_check.cc
+++ b/src/connect_check.cc
@@ -26,6 +26,7 @@
     }
   }
 
+  tcp::endpoint endpoint;
   tcp::socket socket;
   asio::steady_timer timer;
   std::function<void(ConnectResult)> on_result;
@@ -39,24 +40,32 @@
                                                   : ConnectResult::kUnknown;
 }
 
+void Start(const std::shared_ptr<Check>& check, Duration timeout) {
+  check->socket.async_connect(check->endpoint, [check](const boost::system::error_code& error) {
+    check->Finish(ResultOf(error));
+  });
+  check->timer.expires_after(timeout);
+  check->timer.async_wait([check](const boost::system::error_code& cancelled) {
+    if (!cancelled) {
+      check->Finish(ConnectResult::kUnknown);
+    }
+  });
+}
+
 }  // namespace
 
 void CheckConnect(asio::io_context& io,
                   const std::string& address,
+                  Duration delay,
                   Duration timeout,
                   std::function<void(ConnectResult)> on_result) {
   const auto check = std::make_shared<Check>(io);
   check->on_result = std::move(on_result);
   const auto [host, port] = SplitAddress(address);
-  check->socket.async_connect(
-      tcp::endpoint(asio::ip::make_address(host), port),
-      [check](const boost::system::error_code& error) { check->Finish(ResultOf(error)); });
-  check->timer.expires_after(timeout);
-  check->timer.async_wait([check](const boost::system::error_code& cancelled) {
-    if (!cancelled) {
-      check->Finish(ConnectResult::kUnknown);
-    }
-  });
+  check->endpoint = tcp::endpoint(asio::ip::make_address(host), port);
+  check->timer.expires_after(delay);
+  check->timer.async_wait(
+      [check, timeout](const boost::system::error_code&) { Start(check, timeout); });
 }
 
 }  // namespace chiverail
--- a/src/connect_check.h
+++ b/src/connect_check.h
@@ -25,10 +25,15 @@
     {ConnectResult::kUnknown, "unknown"},
 }};
 
-// Opens a connection to "ip:port", closes it again and passes the result on. A connection that
-// broke tells whether its peer has ended only together with such a check.
+// Time after which a process that is being killed has closed all its sockets. The kernel closes the
+// one that listens after the connections.
+inline constexpr Duration kProcessEndTime = milliseconds(30);
+
+// Opens a connection to "ip:port" after `delay`, closes it again and passes the result on. A
+// connection that broke tells whether its peer has ended only together with such a check.
 void CheckConnect(boost::asio::io_context& io,
                   const std::string& address,
+                  Duration delay,
                   Duration timeout,
                   std::function<void(ConnectResult)> on_result);
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -5,9 +5,12 @@
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "connect_check.h"
+
 namespace chiverail {
 
 namespace asio = boost::asio;
@@ -163,6 +166,8 @@
   // connections of a killed process end in the same way.
   void CheckPeerAccepts(asio::yield_context yield) {
     boost::system::error_code error;
+    asio::steady_timer timer(stream_.get_executor(), kProcessEndTime);
+    timer.async_wait(yield[error]);
     check_stream_.expires_after(timeouts_.connect);
     check_stream_.async_connect(endpoint_, yield[error]);
     if (error) {
--- a/src/relay_quarantine.cc
+++ b/src/relay_quarantine.cc
@@ -80,7 +80,7 @@
     return;
   }
   end->second.at = BootTimeNow();
-  CheckConnect(io_, upstream.entry.address, UpstreamConnection::kConnectTimeout,
+  CheckConnect(io_, upstream.entry.address, {}, UpstreamConnection::kConnectTimeout,
                [this, id = upstream.entry.id](ConnectResult result) { OnEndChecked(id, result); });
 }
 
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -239,7 +239,8 @@
 }
 
 void RelayCall::ConfirmEnd(int checks) {
-  CheckConnect(relay_.io(), connection_->address(), UpstreamConnection::kConnectTimeout,
+  CheckConnect(relay_.io(), connection_->address(), kProcessEndTime,
+               UpstreamConnection::kConnectTimeout,
                [self = shared_from_this(), checked = connection_, checks](ConnectResult result) {
                  if (self->connection_ != checked) {
                    return;  // the attempt has ended
--- a/tests/answer_end_soak.py
+++ b/tests/answer_end_soak.py
@@ -34,7 +34,8 @@
 WORKERS = {"plain": 5, "models": 4}
 GATEWAYS = 3
 DEADLINE_S = 4.0
-ALIVE_S = 1.0  # a worker that isn't killed for this long after an answer's end was alive at that end
+# A worker that isn't killed for this long after an answer's end, or accepts a connection after it, was alive at that end.
+ALIVE_S = 1.0
 EARLY_BODY_BYTES = 300_000
 SLOW_S = 2.5  # a slow caller reads a head and then nothing for so long, so that its instance pauses a large answer
 SLOW_BUFFER_BYTES = 65536
@@ -224,23 +225,27 @@
 
 
 def last_answers(path):
-    """By request: the worker's record of its last answer."""
-    records = {}
+    """By request: the worker's record of its last answer. By worker: when it last accepted a connection."""
+    records, accepted = {}, {}
     with open(path, encoding="utf-8") as log:
         for line in log:
             record = json.loads(line)
-            records[record["id"]] = record
-    return records
+            if "accepted" in record:
+                accepted[record["accepted"]] = record["at"]
+            else:
+                records[record["id"]] = record
+    return records, accepted
 
 
 def judge(soak):
     """Prints the cases and returns whether the run has passed."""
     workers = {worker.name: worker for worker in soak.workers}
-    records, counts, mixed = last_answers(soak.log), collections.Counter(), collections.Counter()
+    (records, accepted), counts, mixed = last_answers(soak.log), collections.Counter(), collections.Counter()
     for row in soak.rows:
         record = records.get(row["id"], {"ending": "none", "framing": "none", "worker": None, "at": 0, "unread": False})
         worker = workers.get(record["worker"])
-        alive = worker is not None and (worker.killed is None or worker.killed > record["at"] + ALIVE_S)
+        alive = worker is not None and (worker.killed is None or worker.killed > record["at"] + ALIVE_S or
+                                        accepted.get(worker.name, 0) > record["at"])
         ending = record["ending"] if record["ending"] != "begun" else "begun" if alive else "killed"
         whole = whole_body(row["kind"], row["id"])
         good = 200 <= row["status"] < 300
--- a/tests/answer_end_workers.py
+++ b/tests/answer_end_workers.py
@@ -136,6 +136,7 @@
     print("127.0.0.1:%d" % listener.getsockname()[1], flush=True)
     while True:
         sock, _ = listener.accept()
+        os.write(log, (json.dumps({"accepted": name, "at": time.monotonic()}) + "\n").encode())
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         threading.Thread(target=Answers(sock, name, log).serve, daemon=True).start()
 
--- a/tests/ended_early_answer_test.cc
+++ b/tests/ended_early_answer_test.cc
@@ -71,6 +71,17 @@
     }
     CHECK(fixture.server.connections() == 1);
   }
+  SECTION("of an upstream whose kernel closes its listening socket last") {
+    boost::asio::steady_timer* timer = nullptr;
+    RawFixture fixture([&](RawServer& server, int) {
+      server.SendAndClose(kUntilClose + "resu");
+      timer->expires_after(milliseconds(10));
+      timer->async_wait([&](const auto&) { server.StopAccepting(); });
+    });
+    boost::asio::steady_timer stop(fixture.io);
+    timer = &stop;
+    CHECK(fixture.SendAndWait(RelayFixture::Request("/book/x")).status == 502);
+  }
   SECTION("but that of an upstream that leaves does") {
     RawFixture fixture([&](RawServer& server, int request) {
       fixture.relay.upstreams().Find("raw-1")->draining = true;
