Keep what is known of upstreams when their list comes back from an older copy

Cause: a restored list shows upstreams as they were: those that are gone were used again, those that came since were dropped at once, and an older entry of a run replaced a newer one. Then the grace period holds for missing entries, an entry with a lower sequence than the known one of its run is ignored, and a run known to be gone counts again once its sequence rises, a new run begins or it is still listed after 6 s (heartbeats don't reach instances that read from others). Departed runs are remembered for 60 s, 1,024 at most. Measured (aarch64): the new sections of upstream_set_test.cc pass; they need OnListRestored, so they were not run on the code before.

--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include <xxhash.h>
 
@@ -36,13 +37,50 @@
   return upstream.failure_rate * std::exp2(-std::max(0.0, half_lives));
 }
 
+bool UpstreamSet::RestoredLately(TimePoint now) const {
+  return list_restored_at_ != TimePoint{} && now < list_restored_at_ + kRestoreTime;
+}
+
+bool UpstreamSet::IsDoubtful(const UpstreamEntry& entry, TimePoint now) {
+  const auto found = departed_.find(entry.id);
+  if (found == departed_.end()) {
+    return false;
+  }
+  Departed& departed = found->second;
+  const bool restored_since = RestoredLately(now) && departed.at < list_restored_at_;
+  if (restored_since && entry.started_ms < departed.started_ms) {
+    return true;
+  }
+  const bool listed_before = departed.listed_at != TimePoint{};
+  const bool written_again = listed_before && entry.sequence > departed.sequence;
+  const bool still_listed = listed_before && departed.listed_at + kDoubtTime <= now;
+  if (entry.started_ms != departed.started_ms || written_again || still_listed ||
+      (!restored_since && !listed_before)) {
+    departed_.erase(found);
+    return false;
+  }
+  // Heartbeats don't reach every instance, so the first entry that is seen counts as an old one.
+  departed.sequence = std::max(departed.sequence, entry.sequence);
+  departed.listed = entry;
+  departed.listed_at = listed_before ? departed.listed_at : now;
+  return true;
+}
+
 void UpstreamSet::Apply(const UpstreamEntry& entry, TimePoint now) {
+  if (IsDoubtful(entry, now)) {
+    return;
+  }
   const auto [position, added] = upstreams_.try_emplace(entry.id);
   UpstreamState& upstream = position->second;
   const bool restarted = !added && entry.started_ms != upstream.entry.started_ms;
   if (!added && entry.started_ms < upstream.entry.started_ms) {
     return;  // entry of an earlier run of the upstream
   }
+  if (!added && !restarted && entry.started_ms != 0 && RestoredLately(now) &&
+      entry.sequence < upstream.entry.sequence) {
+    upstream.entry_lapsed = false;
+    return;
+  }
   if (added) {
     upstream.tag = UpstreamTag(entry.id);
     tags_[upstream.tag] = entry.id;
@@ -70,6 +108,9 @@
 }
 
 void UpstreamSet::Remove(const UpstreamId& id, TimePoint now) {
+  if (const auto departed = departed_.find(id); departed != departed_.end()) {
+    departed->second.listed_at = {};
+  }
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) {
     return;
@@ -78,11 +119,23 @@
     found->second.entry_lapsed = true;
     return;
   }
-  Retire(found->second);
+  Retire(found->second, now);
+}
+
+void UpstreamSet::Remember(const UpstreamState& upstream, TimePoint now) {
+  if (departed_.size() >= kMaxDeparted && departed_.count(upstream.entry.id) == 0) {
+    departed_.erase(
+        std::min_element(departed_.begin(), departed_.end(),
+                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+  }
+  departed_[upstream.entry.id] = {upstream.entry.started_ms, upstream.entry.sequence, now, {}, {}};
 }
 
 // An upstream with requests in progress is kept until they end, but gets no new ones.
-void UpstreamSet::Retire(UpstreamState& upstream) {
+void UpstreamSet::Retire(UpstreamState& upstream, TimePoint now) {
+  if (!upstream.removed) {
+    Remember(upstream, now);
+  }
   upstream.removed = true;
   if (upstream.own_load == 0) {
     tags_.erase(upstream.tag);
@@ -103,6 +156,11 @@
       missing.push_back(id);
     }
   }
+  for (const auto& [id, run] : departed_) {
+    if (run.listed_at != TimePoint{} && listed.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
   for (const UpstreamId& id : missing) {
     Remove(id, now);
   }
@@ -126,7 +184,19 @@
     }
   }
   for (const UpstreamId& id : expired) {
-    Retire(upstreams_.at(id));
+    Retire(upstreams_.at(id), now);
+  }
+  std::vector<UpstreamEntry> still_listed;
+  for (auto departed = departed_.begin(); departed != departed_.end();) {
+    const Departed& run = departed->second;
+    if (run.listed_at != TimePoint{} && run.listed_at + kDoubtTime <= now) {
+      still_listed.push_back(run.listed);
+    }
+    const bool forgotten = run.listed_at == TimePoint{} && run.at + kDepartedTime <= now;
+    departed = forgotten ? departed_.erase(departed) : std::next(departed);
+  }
+  for (const UpstreamEntry& entry : still_listed) {
+    Apply(entry, now);
   }
 }
 
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -22,6 +22,7 @@
   bool draining = false;
   Duration cold_remaining{};    // how long it stays cold, counted from the write of the entry
   std::int64_t started_ms = 0;  // Unix time of its start; distinguishes runs under the same id
+  std::uint64_t sequence = 0;   // rises within a run; not all entries reach every instance
 };
 
 // State of one upstream as seen by this instance.
@@ -64,6 +65,15 @@
   // instances included, is treated as an outage in which entries may have lapsed.
   void OnListRead(TimePoint as_of, TimePoint now);
 
+  // Records that the list has come back from an older copy, before its entries are applied. They
+  // don't undo what is known: the grace period holds for those that are missing, entries older than
+  // the known ones are ignored, and upstreams known to be gone are used again only once their
+  // entries have been written again, or are still listed after kDoubtTime.
+  void OnListRestored(TimePoint now) {
+    list_recovered_at_ = now;
+    list_restored_at_ = now;
+  }
+
   // Records that another instance has read the list with its contents at `as_of`: the list itself
   // was not out then, whatever this instance has read.
   void OnListSeen(TimePoint as_of) { list_seen_as_of_ = std::max(list_seen_as_of_, as_of); }
@@ -107,8 +117,32 @@
   void OnAddressTaken(UpstreamState& upstream);
 
  private:
+  // A run of an upstream that is gone.
+  struct Departed {
+    std::int64_t started_ms = 0;
+    std::uint64_t sequence = 0;
+    TimePoint at{};
+    // Entry of this run in a restored list, and when it was first seen; zero if there is none.
+    UpstreamEntry listed;
+    TimePoint listed_at{};
+  };
+
+  // Entries in a restored list may be older than what is known for this long.
+  static constexpr Duration kRestoreTime = seconds(15);
+
+  // An upstream that has ended lapses from the list after three heartbeats of about 1.2 s.
+  static constexpr Duration kDoubtTime = seconds(6);
+
+  // For how long, and how many, departed runs are remembered; more than a copy of the list is old.
+  static constexpr Duration kDepartedTime = seconds(60);
+  static constexpr std::size_t kMaxDeparted = 1024;
+
   bool InReregistrationGrace(TimePoint now) const;
-  void Retire(UpstreamState& upstream);
+  bool RestoredLately(TimePoint now) const;
+  // Returns true if the entry is of a run that is known to be gone, and may be older than that.
+  bool IsDoubtful(const UpstreamEntry& entry, TimePoint now);
+  void Remember(const UpstreamState& upstream, TimePoint now);
+  void Retire(UpstreamState& upstream, TimePoint now);
 
   std::map<UpstreamId, UpstreamState> upstreams_;
   std::map<std::uint32_t, UpstreamId> tags_;
@@ -116,6 +150,8 @@
   TimePoint list_as_of_{};
   TimePoint list_seen_as_of_{};  // of the newest read that another instance has told about
   TimePoint list_recovered_at_{};
+  TimePoint list_restored_at_{};
+  std::map<UpstreamId, Departed> departed_;
 };
 
 // Minimum gap between two reads of the list that counts as an outage. Entries lapse after three
--- a/tests/upstream_set_test.cc
+++ b/tests/upstream_set_test.cc
@@ -118,6 +118,79 @@
   }
 }
 
+// Guards against upstreams that are used again since a restored list shows them as they were
+// (day restored-unwritten, DRAIN).
+TEST_CASE("A list that comes back from an older copy undoes nothing that is known") {
+  const auto entry = [](const std::string& id, std::uint64_t sequence, bool draining = false) {
+    UpstreamEntry written = Entry(id);
+    written.sequence = sequence;
+    written.draining = draining;
+    return written;
+  };
+  UpstreamSet upstreams;
+  upstreams.Replace({entry("drains", 5), entry("gone", 5), entry("stays", 5)}, kStart);
+  upstreams.Apply(entry("drains", 8, true), kStart + seconds(1));
+  upstreams.Remove("gone", kStart + seconds(2));
+  upstreams.Apply(entry("came", 1), kStart + seconds(2));
+  const TimePoint restored = kStart + seconds(4);
+  upstreams.OnListRestored(restored);
+  upstreams.Replace({entry("drains", 6), entry("gone", 7), entry("stays", 6)}, restored);
+  const auto usable = [&upstreams](const std::string& id, TimePoint now) {
+    upstreams.Expire(now);
+    for (const UpstreamState* upstream : upstreams.Usable("engines", now)) {
+      if (upstream->entry.id == id) {
+        return true;
+      }
+    }
+    return false;
+  };
+  CHECK(usable("stays", restored));
+  CHECK_FALSE(usable("drains", restored));
+  CHECK_FALSE(usable("gone", restored));
+
+  SECTION("an upstream that it lacks is kept until it has had time to write its entry again") {
+    CHECK(usable("came", restored + kReregistrationGrace - milliseconds(1)));
+    CHECK_FALSE(usable("came", restored + kReregistrationGrace));
+  }
+  SECTION("an upstream that is gone is used again once it has written its entry again") {
+    upstreams.Apply(entry("gone", 8), restored + seconds(1));
+    CHECK(usable("gone", restored + seconds(1)));
+  }
+  SECTION("or has started again") {
+    UpstreamEntry started = Entry("gone", 2);
+    upstreams.Apply(started, restored + seconds(1));
+    CHECK(usable("gone", restored + seconds(1)));
+  }
+  SECTION("or is listed for longer than one that has ended") {
+    CHECK_FALSE(usable("gone", restored + seconds(5)));
+    CHECK(usable("gone", restored + seconds(6)));
+  }
+  SECTION("but not if its entry lapses") {
+    upstreams.Remove("gone", restored + seconds(4));
+    CHECK_FALSE(usable("gone", restored + seconds(7)));
+  }
+  SECTION("an entry of an earlier run changes nothing") {
+    upstreams.Apply(Entry("gone", 0), restored + seconds(1));
+    CHECK_FALSE(usable("gone", restored + seconds(1)));
+  }
+  SECTION("a second restore neither") {
+    const TimePoint again = restored + seconds(3);
+    upstreams.OnListRestored(again);
+    upstreams.Replace({entry("drains", 6), entry("gone", 7), entry("stays", 6)}, again);
+    CHECK_FALSE(usable("drains", again));
+    CHECK_FALSE(usable("gone", again));
+  }
+}
+
+// Guards against upstreams that are held back without a restore.
+TEST_CASE("An upstream whose entry was removed is used again at once when it is listed") {
+  UpstreamSet upstreams;
+  upstreams.Apply(Entry("a"), kStart);
+  upstreams.Remove("a", kStart);
+  upstreams.Apply(Entry("a"), kStart + seconds(1));
+  CHECK(UsableCount(upstreams, kStart + seconds(1)) == 1);
+}
+
 TEST_CASE("An unreachable upstream is not used during a back-off time") {
   UpstreamSet upstreams;
   upstreams.Apply(Entry("a"), kStart);
