Test copies, messages and fleets of up to 295 instances across a restore of the store

Cause: the fix of versions was covered by feeds of at most 13 instances over loopback. Change: the simulated store can be restored (its versions now hold a life), and fleets of 1, 13, 114 and 295 instances follow it, twice in a row; copies answer readers that were behind, ahead or in other lives; a notice is read with and without the life, as by the former build.

--- a/tests/restored_store_test.cc
+++ b/tests/restored_store_test.cc
@@ -5,6 +5,7 @@
 
 #include "fake_store.h"
 #include "row_feed.h"
+#include "table_sim.h"
 
 namespace chiverail {
 namespace {
@@ -156,8 +157,7 @@
 
 // Guards against rows that never arrive after the store's versions went back (cdsaa-rail, day
 // restored, CONFIG): feeds asked for the changes after a version that was given out again.
-TEST_CASE("Feeds follow a store that comes back from an older copy",
-          "[restored-store]") {
+TEST_CASE("Feeds follow a store that comes back from an older copy", "[restored-store]") {
   const FleetSize size = GENERATE(FleetSize{1, 1}, FleetSize{3, 1}, FleetSize{13, 3});
   FeedFleet fleet(size.instances, size.readers);
   const FakeStore::Copy copy = fleet.store.TakeCopy();
@@ -238,8 +238,7 @@
 
 // Guards against rows that an instance confirms by what was known before the restore (hypothesis B
 // of docs/incidents/restored-store.md).
-TEST_CASE("A notice of the former life of the store confirms nothing",
-          "[restored-store]") {
+TEST_CASE("A notice of the former life of the store confirms nothing", "[restored-store]") {
   FeedFleet fleet(2, 1);
   const FakeStore::Copy copy = fleet.store.TakeCopy();
   fleet.WriteWhatIsLost();
@@ -257,4 +256,108 @@
   CHECK(fleet.IsCurrent());
 }
 
+// Guards against large fleets in which some instances keep the rows of before.
+TEST_CASE("A fleet follows a store that comes back from an older copy") {
+  struct Size {
+    int instances;
+    int data_centres;
+    Duration bound;
+  };
+  const Size size = GENERATE(Size{1, 1, seconds(2)}, Size{13, 3, seconds(2)},
+                             Size{114, 4, seconds(3)}, Size{295, 5, seconds(4)});
+  constexpr ReadTiming kOperatorRows{milliseconds(600), {}, milliseconds(300), milliseconds(1500)};
+  TableSim sim(size.instances, size.data_centres, kOperatorRows, 7);
+  for (int i = 0; i < 3; ++i) {
+    sim.Commit();
+    sim.fleet.Run(milliseconds(700));
+  }
+  for (std::size_t i = 0; i < sim.fleet.nodes.size(); ++i) {
+    sim.silenced.insert(i);
+  }
+  sim.fleet.Run(milliseconds(600));
+  sim.silenced.clear();
+  const std::uint64_t lost = GENERATE(1u, 3u);
+  sim.Restore(lost);
+  for (std::uint64_t i = 0; i <= lost; ++i) {
+    sim.Commit();
+  }
+  CHECK(sim.UntilInForce(seconds(8)) <= size.bound);
+  sim.Restore(lost);
+  CHECK(sim.UntilInForce(seconds(8)) <= size.bound);
+  CHECK(sim.false_confirmations == 0);
+}
+
+// Guards against differences that leave out what only the reader of a copy knows.
+TEST_CASE("A copy that passes into a later life tells its readers what changed") {
+  const auto row = [](const std::string& key, std::uint64_t life, std::uint64_t counter) {
+    return StoreRow{key, key, VersionIn(life, counter), false};
+  };
+  const TimePoint now{seconds(1000)};
+  TableCopy copy;
+  copy.Replace({row("a", 3, 3), row("b", 3, 5)}, VersionIn(3, 10), now);
+  copy.ApplyChanges({row("c", 3, 12)}, VersionIn(3, 12), now);
+  copy.Replace({row("a", 4, 3), row("d", 4, 4)}, VersionIn(4, 4), now);
+  CHECK(copy.version() == VersionIn(4, 4));
+  CHECK(copy.changed_version() == VersionIn(4, 4));
+
+  SECTION("if they were not ahead of it") {
+    const auto changes = copy.ChangesAfter(VersionIn(3, 10));
+    REQUIRE(changes);
+    REQUIRE(changes->size() == 3);
+    CHECK(copy.ChangesAfter(VersionIn(3, 12))->size() == 3);
+    CHECK(copy.ChangesAfter(VersionIn(4, 4))->empty());
+  }
+  SECTION("and has them list the table if they were, or have seen another life") {
+    CHECK_FALSE(copy.ChangesAfter(VersionIn(3, 13)));
+    CHECK_FALSE(copy.ChangesAfter(VersionIn(4, 3)));
+    CHECK_FALSE(copy.ChangesAfter(VersionIn(3, 9)));
+  }
+  SECTION("through two restores in a row") {
+    copy.Replace({row("a", 6, 3)}, VersionIn(6, 3), now);
+    CHECK(copy.ChangesAfter(VersionIn(4, 4))->size() == 1);
+    CHECK_FALSE(copy.ChangesAfter(VersionIn(5, 1)));
+    CHECK_FALSE(copy.ChangesAfter(VersionIn(3, 12)));
+  }
+}
+
+// Guards against upgrades: processes of the build before know nothing of lives.
+TEST_CASE("Notices state the life of the store beside a version that the former build can read") {
+  InstanceReport report;
+  report.info.instance = "i";
+  report.info.data_centre = "dc0";
+  report.info.caller_address = "10.0.0.1:80";
+  report.info.peer_address = "10.0.0.1:7000";
+  report.work.key = InstanceKey("i", report.info.start_id);
+  report.notices = {{"t", VersionIn(5, 41), milliseconds(10), {}}};
+  const std::string bytes = EncodeFleetMessage(report);
+  nlohmann::json message = nlohmann::json::from_msgpack(bytes);
+  CHECK(message.at(7).at(1) == 41);
+
+  const auto decoded = std::get<FleetMessage>(DecodeFleetMessage(bytes, {}));
+  CHECK(std::get<InstanceReport>(decoded).notices.at(0).version == VersionIn(5, 41));
+
+  SECTION("and of that build they are taken for the life that the receiver knows") {
+    message.erase(11);
+    std::string former;
+    nlohmann::json::to_msgpack(message, former);
+    const auto read = std::get<FleetMessage>(DecodeFleetMessage(former, {}));
+    const TableNotice notice = std::get<InstanceReport>(read).notices.at(0);
+    CHECK_FALSE(notice.has_life);
+    TableFollower follower({milliseconds(600), {}, {}, milliseconds(1500)}, 1);
+    const TimePoint now{seconds(1000)};
+    const SourceView view{{"10.0.0.1:7000"}, 2, 0};
+    follower.Start(now);
+    REQUIRE(follower.Next(view, now));
+    follower.OnRead(ReadResult::kRows, VersionIn(5, 41), false, now);
+    CHECK(follower.OnNotice("10.0.0.1:7000", notice, view, now));
+    TableNotice newer = notice;
+    newer.version = 42;
+    CHECK_FALSE(follower.OnNotice("10.0.0.1:7000", newer, view, now));
+    TableNotice earlier = notice;
+    earlier.has_life = true;
+    earlier.version = VersionIn(4, 41);
+    CHECK_FALSE(follower.OnNotice("10.0.0.1:7000", earlier, view, now));
+  }
+}
+
 }  // namespace chiverail
--- a/tests/table_sim.h
+++ b/tests/table_sim.h
@@ -10,6 +10,7 @@
 
 #include "exchange_fleet.h"
 #include "table_follower.h"
+#include "table_version.h"
 
 namespace chiverail {
 
@@ -45,13 +46,14 @@
 
   // Commits a change. Polls that the store holds back are answered, except those of silenced
   // instances.
-  void Commit() {
-    ++store_version_;
-    committed_at_ = fleet.now();
-    commits_.push_back(committed_at_);
-    for (auto& poll : std::exchange(held_, {})) {
-      poll();
-    }
+  void Commit() { SetStoreVersion(store_version_ + 1); }
+
+  // The store comes back from an older copy: its counter goes back, and a new life begins. Polls
+  // that it holds back get no answer.
+  void Restore(std::uint64_t commits_lost) {
+    held_.clear();
+    SetStoreVersion(
+        VersionIn(LifeOf(store_version_) + 1, CounterOf(store_version_) - commits_lost));
   }
 
   // Stops an instance. What arrives meanwhile waits for it.
@@ -122,8 +124,8 @@
   void Confirm(std::size_t i, TimePoint as_of) {
     Copy& copy = copies_[i];
     copy.as_of = std::max(copy.as_of, as_of);
-    // The first version has no commit.
-    const bool newest = copy.version > commits_.size() || commits_[copy.version - 1] > copy.as_of;
+    const auto superseded = superseded_at_.find(copy.version);
+    const bool newest = superseded == superseded_at_.end() || superseded->second > copy.as_of;
     false_confirmations += newest ? 0 : 1;
   }
 
@@ -180,13 +182,24 @@
     }
   }
 
+  void SetStoreVersion(std::uint64_t version) {
+    committed_at_ = fleet.now();
+    superseded_at_[store_version_] = committed_at_;
+    store_version_ = version;
+    for (auto& poll : std::exchange(held_, {})) {
+      poll();
+    }
+  }
+
   void CallStore(std::size_t i, std::uint64_t call, std::uint64_t after, const TableRead& read) {
     ++store_calls;
     const TimePoint sent_at = fleet.now();
-    const auto answer = [this, i, call, sent_at] {
+    const auto answer = [this, i, call, sent_at, after, listing = read.listing] {
       if (silenced.count(i) == 0) {
         const Copy rows{store_version_, sent_at};
-        fleet.queue().After(milliseconds(4), [=] { End(i, call, ReadResult::kRows, rows); });
+        const bool history_gone = !listing && LifeOf(after) != LifeOf(store_version_);
+        const ReadResult result = history_gone ? ReadResult::kHistoryGone : ReadResult::kRows;
+        fleet.queue().After(milliseconds(4), [=] { End(i, call, result, rows); });
       }
     };
     if (read.listing || after < store_version_) {
@@ -249,8 +262,8 @@
   std::map<std::size_t, std::uint64_t> roster_versions_;
   std::vector<std::function<void()>> held_;
   std::map<std::size_t, std::vector<std::function<void()>>> ends_;  // of calls of paused instances
-  std::vector<TimePoint> commits_;  // of the versions after the first one
-  std::uint64_t store_version_ = 1;
+  std::map<std::uint64_t, TimePoint> superseded_at_;  // when versions ceased to be the newest
+  std::uint64_t store_version_ = VersionIn(3, 1);
   TimePoint committed_at_{};
 };
 
