--- a/src/metrics.h
+++ b/src/metrics.h
@@ -67,6 +67,7 @@
   kWaitingRequests,
   kQuarantinedSegments,
   kUpstreamTerms,
+  kStoreLife,
 };
 
 // Distributions of times, in seconds.
