Reset answers without a length whose instance ends within them

Cause: as for upstreams: the end of a process looks like the end of an answer. Answers in chunks had shown it. Change: while the answer runs, and until all of it has been handed to the kernel, each close resets the connection (SO_LINGER with 0 s). Measured on aarch64: the new test of a killed gateway failed on (no reset) and passes now.

--- a/src/caller_response.cc
+++ b/src/caller_response.cc
@@ -78,6 +78,9 @@
   } else if (framing == BodyFraming::kLength && status != 204 && status != 304) {
     head.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
   }
+  if (framing == BodyFraming::kClose) {
+    io_.ResetUnlessSent();  // a close within the response would look like its end
+  }
   head.append(closing_ ? "Connection: close\r\n\r\n" : "\r\n");
   io_.Send(head);
 }
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -193,11 +193,17 @@
   }
 }
 
+void SocketIo::ResetUnlessSent() {
+  boost::system::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void SocketIo::Linger() {
   if (linger_timer_ || !socket_.is_open()) {
     return;
   }
   boost::system::error_code error;
+  socket_.set_option(asio::socket_base::linger(false, 0), error);
   socket_.shutdown(tcp::socket::shutdown_send, error);
   if (error) {
     Close();
@@ -213,9 +219,8 @@
 }
 
 void SocketIo::Reset() {
-  boost::system::error_code ignored;
   if (socket_.is_open()) {
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    ResetUnlessSent();
   }
   Close();
 }
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -60,6 +60,10 @@
   // True while the socket waits for the peer to close its side.
   bool lingering() const { return linger_timer_.has_value() && socket_.is_open(); }
 
+  // Has every close reset the connection, also that by the kernel if the process is killed, until
+  // CloseWhenSent() has sent all queued bytes.
+  void ResetUnlessSent();
+
   // Closes the socket with a reset, so that the peer cannot take what it received for complete.
   void Reset();
 
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -170,6 +170,32 @@
         self.assertEqual(responses[0][1].count(b"data: x"), 20)
         self.assertEqual(gateway.process.wait(WAIT_S), 0)
 
+    def test_a_stream_without_length_does_not_look_complete_when_its_instance_is_killed(self):
+        # MIXED: the kernel of a killed process closes its connections regularly, which ends such an answer.
+        def stream(handler):
+            handler.send_response(200)
+            for name, value in handler.seal_fields().items():
+                handler.send_header(name, value)
+            handler.send_header("Connection", "close")
+            handler.end_headers()
+            handler.wfile.write(b"id: 1\ndata: x\n\n")
+            handler.wfile.flush()
+            time.sleep(2)
+            return False
+
+        self.worker.on_request = stream
+        gateway = self.start_serving()
+        with socket.create_connection(("127.0.0.1", gateway.front), timeout=WAIT_S) as caller:
+            caller.sendall(b"POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 0123456789abcdef\r\n"
+                           b"X-Deadline-Ms: 8000\r\nX-Credential: k-1\r\nContent-Length: 4\r\n\r\nbody")
+            received = b""
+            while b"data: x" not in received:
+                received += caller.recv(4096)
+            self.assertNotIn(b"chunked", received)
+            gateway.process.kill()
+            with self.assertRaises(ConnectionResetError):
+                caller.recv(4096)
+
     def test_no_request_on_a_kept_connection_is_passed_on_and_cut_by_a_stop(self):
         # LOST: streams that callers sent on kept connections late in the grace were passed on and cut at its end.
         self.worker = Worker(event_pause_s=0.25, events=20)
