End a call of the daemon that is given up while its end is confirmed

Seen by review: Close() during the 30 ms before the check of an answer without a length had no effect. Cause: the check opens its connection after the wait. Change: it looks whether the call was closed. Measured: no test of its own; the tests of the HTTP client pass on aarch64.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -159,6 +159,7 @@
     stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     stream_.close();
     check_stream_.close();
+    closed_ = true;
   }
 
  private:
@@ -168,6 +169,9 @@
     boost::system::error_code error;
     asio::steady_timer timer(stream_.get_executor(), kProcessEndTime);
     timer.async_wait(yield[error]);
+    if (closed_) {
+      throw HttpError("response cut: the exchange was given up", true);
+    }
     check_stream_.expires_after(timeouts_.connect);
     check_stream_.async_connect(endpoint_, yield[error]);
     if (error) {
@@ -216,6 +220,7 @@
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
   std::size_t consumed_ = 0;
   bool reusable_ = false;
+  bool closed_ = false;
   std::chrono::steady_clock::time_point opened_;
 };
 
