Call one life of a table an era everywhere, and order versions in one place

Cause: the gateway spoke of lives and the daemon of eras, and each had its own functions for versions. No behaviour changes.

--- a/src/fleet_messages.cc
+++ b/src/fleet_messages.cc
@@ -199,31 +199,31 @@
   return list;
 }
 
-// The lives of the notices' versions follow at the end of a message: processes of builds without
+// The eras of the notices' versions follow at the end of a message: processes of builds without
 // them read the message up to there.
-json EncodeLives(const std::vector<TableNotice>& notices) {
+json EncodeEras(const std::vector<TableNotice>& notices) {
   json list = json::array();
   for (const TableNotice& notice : notices) {
-    list.push_back(notice.has_life ? json(LifeOf(notice.version)) : json());
+    list.push_back(notice.has_era ? json(EraOf(notice.version)) : json());
   }
   return list;
 }
 
-void SetLives(std::vector<TableNotice>& notices, const json& message, std::size_t position) {
+void SetEras(std::vector<TableNotice>& notices, const json& message, std::size_t position) {
   const bool stated = position < message.size();
   if (stated && message[position].size() != notices.size()) {
-    throw MalformedMessage("lives of other notices");
+    throw MalformedMessage("eras of other notices");
   }
   for (std::size_t i = 0; i < notices.size(); ++i) {
-    notices[i].has_life = stated && !message[position][i].is_null();
-    if (!notices[i].has_life) {
+    notices[i].has_era = stated && !message[position][i].is_null();
+    if (!notices[i].has_era) {
       continue;
     }
-    const auto life = message[position][i].get<std::uint64_t>();
-    if (life > kMaxTableLife) {
-      throw MalformedMessage("life of a table out of range");
+    const auto era = message[position][i].get<std::uint64_t>();
+    if (era > kMaxTableEra) {
+      throw MalformedMessage("era of a table out of range");
     }
-    notices[i].version = VersionIn(life, notices[i].version);
+    notices[i].version = VersionIn(era, notices[i].version);
   }
 }
 
@@ -323,7 +323,7 @@
     return json::array({kFormatVersion, kReportType, Encode(report.info), Encode(report.work),
                         Encode(report.ack), report.upstream_set, Encode(report.segments),
                         Encode(report.notices), Encode(report.quarantine), Encode(report.terms),
-                        Encode(report.timing), EncodeLives(report.notices)});
+                        Encode(report.timing), EncodeEras(report.notices)});
   }
   json operator()(const HubForward& forward) const {
     json work = json::array();
@@ -334,7 +334,7 @@
                         forward.sequence, std::move(work), Encode(forward.roster),
                         Encode(forward.ack), Encode(forward.segments), Encode(forward.notices),
                         Encode(forward.quarantine), Encode(forward.terms), Encode(forward.timing),
-                        EncodeLives(forward.notices)});
+                        EncodeEras(forward.notices)});
   }
   json operator()(const HubSummary& summary) const {
     return json::array(
@@ -343,7 +343,7 @@
          dense_tags == nullptr ? Encode(summary.loads) : EncodeDense(summary.loads, *dense_tags),
          Encode(summary.services), Encode(summary.roster), Encode(summary.segments),
          Encode(summary.notices), Encode(summary.quarantine), Encode(summary.terms),
-         Encode(summary.timing), EncodeLives(summary.notices)});
+         Encode(summary.timing), EncodeEras(summary.notices)});
   }
 };
 
@@ -358,7 +358,7 @@
   report.quarantine = QuarantineFrom(message.at(8));
   report.terms = TermsFrom(message.at(9));
   report.timing = TimingFrom(message.at(10));
-  SetLives(report.notices, message, 11);
+  SetEras(report.notices, message, 11);
   if (report.work.key != InstanceKey(report.info.instance, report.info.start_id)) {
     throw MalformedMessage("key of another instance");
   }
@@ -380,7 +380,7 @@
   forward.quarantine = QuarantineFrom(message.at(10));
   forward.terms = TermsFrom(message.at(11));
   forward.timing = TimingFrom(message.at(12));
-  SetLives(forward.notices, message, 13);
+  SetEras(forward.notices, message, 13);
   return forward;
 }
 
@@ -398,7 +398,7 @@
   summary.quarantine = QuarantineFrom(message.at(11));
   summary.terms = TermsFrom(message.at(12));
   summary.timing = TimingFrom(message.at(13));
-  SetLives(summary.notices, message, 14);
+  SetEras(summary.notices, message, 14);
   return summary;
 }
 
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -90,9 +90,9 @@
   // Receiver only: `age` includes the time since the message was sent. If not, it is a lower bound,
   // and the notice must not confirm any rows.
   bool dated = true;
-  // False if it comes from an instance that does not state the life of the store; the version holds
+  // False if it comes from an instance that does not state the era of the store; the version holds
   // the counter alone then.
-  bool has_life = true;
+  bool has_era = true;
 };
 
 // When a message was sent. The receiver finds a lower bound for that on its own clock from the echo
--- a/src/membership_changes.cc
+++ b/src/membership_changes.cc
@@ -241,7 +241,7 @@
   TableRow row{MembersKey(data_centre), VersionOf(result, MembersKey(data_centre)),
                SerializeRow(pending_value_)};
   const bool version_known = row.version != 0;
-  row.era = version_known ? EraOfVersion(row.version) : era_.value_or(0);
+  row.era = version_known ? EraOf(row.version) : era_.value_or(0);
   row.version = std::max<std::uint64_t>(row.version, 1);
   const bool current = ObserveEra(row.era, now, out);
   OnMembersRow(data_centre, row, operation.started, now, out);
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -118,7 +118,7 @@
      "Upstreams that have named a limit, leave, or have turned this instance away for a while."},
     {Gauge::kConfigAge, "chiverail_config_age_seconds", "",
      "Time since the configuration in force was last confirmed as the newest."},
-    {Gauge::kStoreLife, "chiverail_store_life", "",
+    {Gauge::kStoreEra, "chiverail_store_era", "",
      "Number that the platform's store raises each time it comes back from an older copy."},
 };
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -67,7 +67,7 @@
   kWaitingRequests,
   kQuarantinedSegments,
   kUpstreamTerms,
-  kStoreLife,
+  kStoreEra,
 };
 
 // Distributions of times, in seconds.
--- a/src/out_of_service.cc
+++ b/src/out_of_service.cc
@@ -4,13 +4,13 @@
 
 namespace chiverail {
 
-// Changes between two lives include removals that nobody has asked for.
+// Changes between two eras include removals that nobody has asked for.
 const std::set<DataCentreId>& OutOfService::Apply(const std::vector<Row>& rows,
                                                   bool full,
-                                                  std::uint64_t life,
+                                                  std::uint64_t era,
                                                   TimePoint now) {
-  const bool restored = std::exchange(known_, true) && life_ < life;
-  life_ = life;
+  const bool restored = std::exchange(known_, true) && era_ < era;
+  era_ = era;
   if (restored) {
     kept_ = in_force_;
     kept_until_ = now + kKeepTime;
--- a/src/out_of_service.h
+++ b/src/out_of_service.h
@@ -20,11 +20,11 @@
     bool removed = false;
   };
 
-  // Applies a listing, if `full`, or changes, both of the given life of the table. Call it with no
+  // Applies a listing, if `full`, or changes, both of the given era of the table. Call it with no
   // changes as well, so that time counts.
   const std::set<DataCentreId>& Apply(const std::vector<Row>& rows,
                                       bool full,
-                                      std::uint64_t life,
+                                      std::uint64_t era,
                                       TimePoint now);
 
   const std::set<DataCentreId>& data_centres() const { return in_force_; }
@@ -37,7 +37,7 @@
   std::set<DataCentreId> kept_;  // from before a restore
   std::set<DataCentreId> in_force_;
   TimePoint kept_until_{};
-  std::uint64_t life_ = 0;
+  std::uint64_t era_ = 0;
   bool known_ = false;  // rows were applied
 };
 
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -39,9 +39,9 @@
 json TransactionToJson(const TableTransaction& transaction) {
   json document = {{"if", json::array()}, {"put", json::array()}, {"delete", transaction.deletes}};
   for (const TableCondition& condition : transaction.conditions) {
-    json held = {{"key", condition.key}, {"version", VersionWithoutEra(condition.version)}};
+    json held = {{"key", condition.key}, {"version", CounterOf(condition.version)}};
     if (condition.version != 0) {
-      held["era"] = EraOfVersion(condition.version);
+      held["era"] = EraOf(condition.version);
     }
     document["if"].push_back(std::move(held));
   }
--- a/src/table_era.h
+++ b/src/table_era.h
@@ -4,27 +4,22 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "table_version.h"
+
 namespace chiverail {
 
 // Number of the platform's table that rises with each restore from an older copy. Versions order
 // rows only within one era. A table that states no era is in era 0.
 using TableEra = std::uint64_t;
 
-// Numbers below an era within a version, and epochs and revisions of one era. Fencing numbers hold
-// epoch and revision in 32 bits each, which leaves room for 4,096 eras.
-inline constexpr unsigned kVersionBits = 44;
+// Epochs and revisions of one era. Fencing numbers hold epoch and revision in 32 bits each, which
+// leaves room for 4,096 eras.
 inline constexpr unsigned kNumberBits = 20;
 
 // Joins an era and a version of the table into one version that differs from those of other eras
 // and is higher than those of earlier ones. An absent row has version 0 in each era.
 inline constexpr std::uint64_t VersionInEra(TableEra era, std::uint64_t version) {
-  return version == 0 ? 0 : (era << kVersionBits) | version;
-}
-inline constexpr TableEra EraOfVersion(std::uint64_t version) {
-  return version >> kVersionBits;
-}
-inline constexpr std::uint64_t VersionWithoutEra(std::uint64_t version) {
-  return version & ((std::uint64_t{1} << kVersionBits) - 1);
+  return version == 0 ? 0 : VersionIn(era, version);
 }
 
 // Lowest epoch and revision that may be given out in an era. It is higher than all those of earlier
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -87,12 +87,12 @@
                              TableNotice notice,
                              const SourceView& view,
                              TimePoint now) {
-  if (!notice.has_life) {
-    notice.version = VersionIn(LifeOf(version_), notice.version);
+  if (!notice.has_era) {
+    notice.version = VersionIn(EraOf(version_), notice.version);
   }
   // What was known before the store was restored confirms nothing, and nothing can be read from an
   // instance that knows no more.
-  if (notice.age > timing_.max_age || LifeOf(notice.version) < LifeOf(version_)) {
+  if (notice.age > timing_.max_age || EraOf(notice.version) < EraOf(version_)) {
     return false;
   }
   choice_.OnNotice(source, now);
--- a/src/table_version.h
+++ b/src/table_version.h
@@ -7,20 +7,20 @@
 namespace chiverail {
 
 // Versions of the rows of the platform's tables. The platform takes them from a counter, which goes
-// back when the platform is restored from an older copy: a new life begins, in which the same
-// numbers are given out again. A version therefore holds the life in its upper bits, so that all
-// versions of a later life are newer than those of an earlier one.
+// back when the platform is restored from an older copy: a new era begins, in which the same
+// numbers are given out again. A version therefore holds the era in its upper bits, so that all
+// versions of a later era are newer than those of an earlier one.
 inline constexpr int kVersionCounterBits = 44;
 inline constexpr std::uint64_t kMaxVersionCounter = (std::uint64_t{1} << kVersionCounterBits) - 1;
-inline constexpr std::uint64_t kMaxTableLife = (std::uint64_t{1} << (64 - kVersionCounterBits)) - 1;
+inline constexpr std::uint64_t kMaxTableEra = (std::uint64_t{1} << (64 - kVersionCounterBits)) - 1;
 
 // Numbers that are out of range count as the largest ones.
-constexpr std::uint64_t VersionIn(std::uint64_t life, std::uint64_t counter) {
-  return (std::min(life, kMaxTableLife) << kVersionCounterBits) |
+constexpr std::uint64_t VersionIn(std::uint64_t era, std::uint64_t counter) {
+  return (std::min(era, kMaxTableEra) << kVersionCounterBits) |
          std::min(counter, kMaxVersionCounter);
 }
 
-constexpr std::uint64_t LifeOf(std::uint64_t version) {
+constexpr std::uint64_t EraOf(std::uint64_t version) {
   return version >> kVersionCounterBits;
 }
 
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -61,7 +61,7 @@
 
   Copy TakeCopy() const { return now_; }
 
-  // Begins a new life with the contents of a copy. Calls that are held back end without an answer.
+  // Begins a new era with the contents of a copy. Calls that are held back end without an answer.
   void Restore(Copy copy) {
     now_ = std::move(copy);
     ++era_;
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -68,7 +68,7 @@
                     [](PlatformClient& client, yield_context yield) { client.ReadList(yield); }));
 }
 
-// Guards against conditions that hold in a later life of the table, which gives versions out again.
+// Guards against conditions that hold in a later era of the table, which gives versions out again.
 TEST_CASE("The platform client tells versions of two eras of the table apart") {
   boost::asio::io_context io(1);
   std::string answer = R"({"version": 7, "value": {}, "era": 3})";
--- a/tests/restored_store_test.cc
+++ b/tests/restored_store_test.cc
@@ -214,7 +214,7 @@
   }
 }
 
-// Guards against a table that is put together from pages of two lives of the store.
+// Guards against a table that is put together from pages of two eras of the store.
 TEST_CASE("A listing in pages begins anew if the store is restored between them",
           "[restored-store]") {
   FeedFleet fleet(1, 1);
@@ -238,7 +238,7 @@
 
 // Guards against rows that an instance confirms by what was known before the restore (hypothesis B
 // of docs/incidents/restored-store.md).
-TEST_CASE("A notice of the former life of the store confirms nothing", "[restored-store]") {
+TEST_CASE("A notice of the former era of the store confirms nothing", "[restored-store]") {
   FeedFleet fleet(2, 1);
   const FakeStore::Copy copy = fleet.store.TakeCopy();
   fleet.WriteWhatIsLost();
@@ -288,9 +288,9 @@
 }
 
 // Guards against differences that leave out what only the reader of a copy knows.
-TEST_CASE("A copy that passes into a later life tells its readers what changed") {
-  const auto row = [](const std::string& key, std::uint64_t life, std::uint64_t counter) {
-    return StoreRow{key, key, VersionIn(life, counter), false};
+TEST_CASE("A copy that passes into a later era tells its readers what changed") {
+  const auto row = [](const std::string& key, std::uint64_t era, std::uint64_t counter) {
+    return StoreRow{key, key, VersionIn(era, counter), false};
   };
   const TimePoint now{seconds(1000)};
   TableCopy copy;
@@ -307,7 +307,7 @@
     CHECK(copy.ChangesAfter(VersionIn(3, 12))->size() == 3);
     CHECK(copy.ChangesAfter(VersionIn(4, 4))->empty());
   }
-  SECTION("and has them list the table if they were, or have seen another life") {
+  SECTION("and has them list the table if they were, or have seen another era") {
     CHECK_FALSE(copy.ChangesAfter(VersionIn(3, 13)));
     CHECK_FALSE(copy.ChangesAfter(VersionIn(4, 3)));
     CHECK_FALSE(copy.ChangesAfter(VersionIn(3, 9)));
@@ -320,8 +320,8 @@
   }
 }
 
-// Guards against upgrades: processes of the build before know nothing of lives.
-TEST_CASE("Notices state the life of the store beside a version that the former build can read") {
+// Guards against upgrades: processes of the build before know nothing of eras.
+TEST_CASE("Notices state the era of the store beside a version that the former build can read") {
   InstanceReport report;
   report.info.instance = "i";
   report.info.data_centre = "dc0";
@@ -336,13 +336,13 @@
   const auto decoded = std::get<FleetMessage>(DecodeFleetMessage(bytes, {}));
   CHECK(std::get<InstanceReport>(decoded).notices.at(0).version == VersionIn(5, 41));
 
-  SECTION("and of that build they are taken for the life that the receiver knows") {
+  SECTION("and of that build they are taken for the era that the receiver knows") {
     message.erase(11);
     std::string former;
     nlohmann::json::to_msgpack(message, former);
     const auto read = std::get<FleetMessage>(DecodeFleetMessage(former, {}));
     const TableNotice notice = std::get<InstanceReport>(read).notices.at(0);
-    CHECK_FALSE(notice.has_life);
+    CHECK_FALSE(notice.has_era);
     TableFollower follower({milliseconds(600), {}, {}, milliseconds(1500)}, 1);
     const TimePoint now{seconds(1000)};
     const SourceView view{{"10.0.0.1:7000"}, 2, 0};
@@ -354,7 +354,7 @@
     newer.version = 42;
     CHECK_FALSE(follower.OnNotice("10.0.0.1:7000", newer, view, now));
     TableNotice earlier = notice;
-    earlier.has_life = true;
+    earlier.has_era = true;
     earlier.version = VersionIn(4, 41);
     CHECK_FALSE(follower.OnNotice("10.0.0.1:7000", earlier, view, now));
   }
--- a/tests/restored_table_test.cc
+++ b/tests/restored_table_test.cc
@@ -229,9 +229,9 @@
   CHECK(again.sends == 0);
 }
 
-// Guards against two claims that both hold, because the second life of the table has given the
+// Guards against two claims that both hold, because the second era of the table has given the
 // version of the released row out again.
-TEST_CASE("A claim over a version of an earlier life of the table does not hold") {
+TEST_CASE("A claim over a version of an earlier era of the table does not hold") {
   FakeTable table;
   const auto before = table.Save();
   Call refused(table, "n0");
--- a/tests/table_sim.h
+++ b/tests/table_sim.h
@@ -48,12 +48,11 @@
   // instances.
   void Commit() { SetStoreVersion(store_version_ + 1); }
 
-  // The store comes back from an older copy: its counter goes back, and a new life begins. Polls
+  // The store comes back from an older copy: its counter goes back, and a new era begins. Polls
   // that it holds back get no answer.
   void Restore(std::uint64_t commits_lost) {
     held_.clear();
-    SetStoreVersion(
-        VersionIn(LifeOf(store_version_) + 1, CounterOf(store_version_) - commits_lost));
+    SetStoreVersion(VersionIn(EraOf(store_version_) + 1, CounterOf(store_version_) - commits_lost));
   }
 
   // Stops an instance. What arrives meanwhile waits for it.
@@ -197,7 +196,7 @@
     const auto answer = [this, i, call, sent_at, after, listing = read.listing] {
       if (silenced.count(i) == 0) {
         const Copy rows{store_version_, sent_at};
-        const bool history_gone = !listing && LifeOf(after) != LifeOf(store_version_);
+        const bool history_gone = !listing && EraOf(after) != EraOf(store_version_);
         const ReadResult result = history_gone ? ReadResult::kHistoryGone : ReadResult::kRows;
         fleet.queue().After(milliseconds(4), [=] { End(i, call, result, rows); });
       }
