Pause between listings of a table whose history is always gone

Seen by review: with a store that has no history for any read, one instance made some 1,000 calls in a second. Cause: a read of changes that ended as history gone was followed by a listing at once, and that by the next read of changes.

--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -43,13 +43,16 @@
   choice_.OnFailed(read_.source, silent, now);
   const bool starting = !listed_ && read_.source != SourceChoice::kStore;
   // A store that stays silent has used up time already: the next source is asked at once.
-  const Duration pause =
-      failures_ == 0 ? Duration::zero()
-                     : std::min<Duration>(kMinRetry * (1 << std::min(failures_ - 1, 4)), kMaxRetry);
-  ++failures_;
+  const Duration pause = RetryPause(failures_++);
   next_at_ = now + (starting ? kStartRetry : pause);
 }
 
+Duration TableFollower::RetryPause(int failures) {
+  return failures == 0
+             ? Duration::zero()
+             : std::min<Duration>(kMinRetry * (1 << std::min(failures - 1, 4)), kMaxRetry);
+}
+
 void TableFollower::OnRead(ReadResult result, std::uint64_t version, bool changed, TimePoint now) {
   reading_ = false;
   switch (result) {
@@ -60,7 +63,7 @@
       return;
     case ReadResult::kHistoryGone:
       relist_ = true;
-      next_at_ = now;
+      next_at_ = now + RetryPause(history_lost_++);
       return;
     case ReadResult::kMorePages:
       choice_.OnSucceeded(read_.source);
@@ -72,6 +75,7 @@
   choice_.OnSucceeded(read_.source);
   last_good_source_ = read_.source;
   failures_ = 0;
+  history_lost_ = read_.listing ? history_lost_ : 0;
   listed_ = true;
   relist_ = false;
   version_ = std::max(version_, version);
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -108,6 +108,9 @@
   friend std::vector<std::pair<std::string, Duration>>
   WaitsOfChange(const ReadTiming& timing, std::size_t instances, const ExchangeTiming& exchange);
 
+  // Pause after a failed call that `failures` others failed before.
+  static Duration RetryPause(int failures);
+
   void OnFailed(bool silent, TimePoint now);
   void PassOverStore(const std::string& source, const TableNotice& notice, TimePoint now);
 
@@ -124,6 +127,7 @@
   bool trying_store_ = false;  // the call asks the store although it may not answer
   bool after_change_ = false;  // the last response had changes
   int failures_ = 0;           // consecutive failures
+  int history_lost_ = 0;       // changes that were no longer available, in a row
   TimePoint next_at_ = TimePoint::max();
   TimePoint newer_since_{};  // first notice of changes that this instance lacks; zero if none
 };
