--- a/src/relay.cc
+++ b/src/relay.cc
@@ -266,7 +266,7 @@
 }
 
 bool Relay::IsLeaving(const UpstreamState& upstream, TimePoint now) const {
-  return upstream.draining || upstream.removed || StandingOf(upstream, now).leaving;
+  return upstream.draining || StandingOf(upstream, now).leaving;
 }
 
 ChoiceQuery Relay::QueryFor(const std::string& service, const ServiceConfig* config) {
