Judge a replacement's grants by the lease, not by its own list of members

Change: grants are refused by the test until the lease can have expired at the earliest (10 s after the kill) whatever is listed, which it did not check before; until it surely has (15 s) while the killed instance is listed; after that they are allowed.

--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -197,33 +197,43 @@
         site.close()
 
 
+LEASE_S = 15  # kLeaseValidity
+LEASE_RENEWAL_S = 5  # kLeaseRenewInterval
+
+
 def replacement_waits_for_a_killed_owner():
     """Guards against two owners of an engine: an instance that seems killed may only be paused, so
-    the new owner must not grant slots before its lease has expired."""
+    the new owner must not grant slots before its lease has expired. The lease ends LEASE_S after its
+    last renewal, which was at most LEASE_RENEWAL_S before the kill."""
     site = start_site(engines_per_data_centre=8, instances_per_data_centre=2)
     try:
         name, killed = next(iter(site.instances.items()))
         owned = {engine for engine, state in site.engine_states().items()
                  if state["owner"] == name}
         require(owned, "the killed instance owned no engine")
+        first_lapse = time.monotonic() + LEASE_S - LEASE_RENEWAL_S
         killed.signal(signal.SIGKILL)
         killed.wait(10)
+        last_lapse = time.monotonic() + LEASE_S
         del site.instances[name]
         site.start_instance("west-new", "west")
         listed = True
         gained = set()
         end = time.monotonic() + 40
         while listed and time.monotonic() < end:
+            read_at = time.monotonic()
             states = site.engine_states()
             active = {engine for engine, state in states.items()
                       if state["phase"] == "active" and state["owner"] == "west-new"}
             gained |= {engine for engine in owned & set(states)
                        if states[engine]["owner"] == "west-new"}
-            # Read after the states: the new owner must not grant while it still lists the old one.
+            # Read after the states: until the lease has surely expired, the new owner must not grant
+            # while it still lists the old one.
             status = get_json(site.instances["west-new"].address, "/admin/status")[1]
             members = status.get("members")  # none before the first view
             listed = not members or any(member["id"] == name for member in members)
-            require(not listed or not active & owned, f"granted before the lease expired: {active}")
+            allowed = read_at >= (first_lapse if not listed else last_lapse)
+            require(allowed or not active & owned, f"granted before the lease expired: {active}")
             time.sleep(0.1)
         require(not listed, "the killed instance was not evicted")
         require(gained, "the replacement gained none of the killed instance's engines")
