Take no response whose status HTTP does not define

Callers got answers with a status line such as "HTTP/1.1 0 OK": an upstream in trouble had sent the status 000, and the relay passed it on as a number of one or two digits (MIXED).

Cause: Beast's parser accepts every status of three digits, and nothing checked its range. The gateway's parser of responses now fails for a status outside 100 to 599 (RFC 9110, section 15), as for any other malformed head: the attempt is broken, the request is sent again where its route allows it, otherwise the caller gets a 502. The store's client uses the same parser: such an answer to a write now leaves its outcome unknown; it counted as a refusal.

The parser's own test was not run on the former code.

--- a/src/http_message.cc
+++ b/src/http_message.cc
@@ -35,7 +35,12 @@
     head.target = Text(target);
     head.http_1_0 = version < 11;
   }
-  void on_response_impl(int code, View reason, int version, Error&) override {
+  // Beast accepts every code of three digits.
+  void on_response_impl(int code, View reason, int version, Error& error) override {
+    if (!IsHttpStatus(code)) {
+      error = http::error::bad_status;
+      return;
+    }
     head.status = code;
     head.reason = Text(reason);
     head.http_1_0 = version < 11;
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -58,7 +58,8 @@
 enum class MessageKind : std::uint8_t { kRequest, kResponse };
 
 // Incremental parser of one message, based on Beast's parser. The caller passes in received bytes
-// and takes out the head and pieces of the body. Rejects messages whose framing is ambiguous.
+// and takes out the head and pieces of the body. Rejects messages whose framing is ambiguous and
+// responses with a status that HTTP does not define.
 class HttpMessageParser {
  public:
   // Messages above `max_head_bytes` or `max_body_bytes` are rejected.
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -13,6 +13,11 @@
 // One header field of a message.
 using HttpHeader = std::pair<std::string, std::string>;
 
+// Returns whether HTTP defines the status code: 100 to 599 (RFC 9110, section 15).
+constexpr bool IsHttpStatus(int status) {
+  return status >= 100 && status <= 599;
+}
+
 // A request with its complete body.
 struct HttpRequest {
   std::string method = "GET";
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -1,6 +1,7 @@
 #include "http_message.h"
 
 #include <catch2/catch.hpp>
+#include <spdlog/fmt/fmt.h>
 
 namespace chiverail {
 namespace {
@@ -90,6 +91,20 @@
   }
 }
 
+// Guards against a code that is passed on as a number of one or two digits.
+TEST_CASE("A response has a status that HTTP defines") {
+  const auto parse = [](int status) {
+    return Parse(MessageKind::kResponse,
+                 fmt::format("HTTP/1.1 {:03} OK\r\nContent-Length: 0\r\n\r\n", status));
+  };
+  CHECK(parse(0).failed());
+  CHECK(parse(99).failed());
+  CHECK(parse(100).head().status == 100);
+  CHECK(parse(599).head().status == 599);
+  CHECK(parse(600).failed());
+  CHECK(parse(999).failed());
+}
+
 TEST_CASE("Hop-by-hop fields are recognised") {
   CHECK(IsHopByHopField("transfer-encoding", ""));
   CHECK(IsHopByHopField("Keep-Alive", ""));
