Check the status of responses in the daemon's client too

The daemon took a response with the status 000 for an answer: a call that may run once would have stored it as its result, and a stream was refused for good instead of being resumed. Found by the check of all places that read answers.

Cause: as in the gateway, Beast's parser accepts every status of three digits. HttpConnection reads the header of every response of upstreams, the platform and other instances, and of the instances that chiverailctl and the load tool ask; it now throws HttpError for a status outside 100 to 599. The request is then in doubt, as after any broken exchange.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -106,6 +106,7 @@
     if (error) {
       throw HttpError("no response: " + error.message(), true);
     }
+    CheckHeader();
   }
 
   HttpResponse ReadAll(asio::yield_context yield) {
@@ -163,6 +164,13 @@
   }
 
  private:
+  // Throws HttpError if the header is one that Beast accepts and HTTP does not allow.
+  void CheckHeader() const {
+    if (!IsHttpStatus(status())) {
+      throw HttpError("no response: status " + std::to_string(status()), true);
+    }
+  }
+
   // A response that only the end of its connection ends is whole if its sender goes on: the
   // connections of a killed process end in the same way.
   void CheckPeerAccepts(asio::yield_context yield) {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -7,6 +7,7 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "malformed_answers.h"
 #include "raw_caller.h"
 #include "raw_fixture.h"
 
@@ -99,6 +100,16 @@
   return std::nullopt;
 }
 
+// Checks that no way to send a request returns what the server answers.
+void CheckNoResponse(HttpClient& client, const std::string& address, yield_context yield) {
+  const HttpRequest request{"POST", "/", {}, "x"};
+  CHECK(BytesWrittenOnFailure([&] { client.Send(address, request, yield); }) == true);
+  CHECK(BytesWrittenOnFailure([&] {
+          client.Prepare(address, yield)->Send(address, request, yield);
+        }) == true);
+  CHECK(BytesWrittenOnFailure([&] { client.Open(address, request, yield); }) == true);
+}
+
 }  // namespace
 
 TEST_CASE("The HTTP client and server transfer complete messages") {
@@ -221,6 +232,17 @@
   }
 }
 
+// Guards against an answer that nobody can read and that is passed on or stored as the answer of a
+// call.
+TEST_CASE("The HTTP client takes no response with a status that HTTP does not define") {
+  const std::string response = "HTTP/1.1 " + GENERATE(from_range(kUndefinedStatuses)) + " OK\r\n" +
+                               GENERATE(from_range(kFramedResults));
+  INFO(response);
+  RunWithRawServer(response, [](auto& client, auto& address, auto yield) {
+    CheckNoResponse(client, address, yield);
+  });
+}
+
 // Guards against streams that break off and look complete to callers that don't know chunks.
 TEST_CASE("A stream for a caller of HTTP/1.0") {
   const std::string request = "GET / HTTP/1.0\r\n\r\n";
