Test that answers with malformed field names are not passed on

Reported of other systems: an answer whose head had a blank or a control byte in the name of a field was passed on with that line, or with a body that was not the upstream's. It is handled: Beast's parser rejects names that are no token.

The tests send 14 malformed lines, the first or the last of the head, and a blank before the first field, with a length, with chunks and with neither, to each kind of route and to the daemon's client.

A line that begins with a blank after another one continues that one (RFC 9112, section 5.2), so the tests don't reject it there: the parser replaces the fold with a space, as the section allows.

--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -104,9 +104,8 @@
 void CheckNoResponse(HttpClient& client, const std::string& address, yield_context yield) {
   const HttpRequest request{"POST", "/", {}, "x"};
   CHECK(BytesWrittenOnFailure([&] { client.Send(address, request, yield); }) == true);
-  CHECK(BytesWrittenOnFailure([&] {
-          client.Prepare(address, yield)->Send(address, request, yield);
-        }) == true);
+  CHECK(BytesWrittenOnFailure(
+            [&] { client.Prepare(address, yield)->Send(address, request, yield); }) == true);
   CHECK(BytesWrittenOnFailure([&] { client.Open(address, request, yield); }) == true);
 }
 
@@ -243,6 +242,23 @@
   });
 }
 
+// Guards against a malformed line that is skipped although it states the length of the body.
+TEST_CASE("The HTTP client takes no response with a malformed field name") {
+  const std::string result = GENERATE(from_range(kFramedResults));
+  std::string lines;
+  SECTION("in any line") {
+    lines = "X-Request: r1\r\n" + GENERATE(from_range(kMalformedFieldLines));
+  }
+  SECTION("that begins with a blank") {
+    lines = " X-Odd: v\r\nX-Request: r1";
+  }
+  const std::string response = "HTTP/1.1 200 OK\r\n" + lines + "\r\n" + result;
+  INFO(response);
+  RunWithRawServer(response, [](auto& client, auto& address, auto yield) {
+    CheckNoResponse(client, address, yield);
+  });
+}
+
 // Guards against streams that break off and look complete to callers that don't know chunks.
 TEST_CASE("A stream for a caller of HTTP/1.0") {
   const std::string request = "GET / HTTP/1.0\r\n\r\n";
--- a/tests/malformed_answer_test.cc
+++ b/tests/malformed_answer_test.cc
@@ -58,8 +58,8 @@
     Metrics metrics;
     const std::string rows = R"({"rows":[{"key":"a","ver":1,"value":"aGk="}],"ver":1})";
     RawServer server(io, kRawPort, [&](RawServer& raw, int) {
-      raw.SendAndClose("HTTP/1.1 " + status + " OK\r\nContent-Length: " +
-                       std::to_string(rows.size()) + "\r\n\r\n" + rows);
+      raw.SendAndClose("HTTP/1.1 " + status +
+                       " OK\r\nContent-Length: " + std::to_string(rows.size()) + "\r\n\r\n" + rows);
     });
     StoreClient client(io, "127.0.0.1:" + std::to_string(kRawPort), metrics);
     std::optional<StoreResponse> response;
@@ -75,4 +75,20 @@
   }
 }
 
+// Guards against a malformed line that is passed on, or that a parser skips although it states the
+// length of the body.
+TEST_CASE("An answer with a malformed field name is not passed on") {
+  const std::string result = GENERATE(from_range(kFramedResults));
+  SECTION("in any line") {
+    const std::string line = GENERATE(from_range(kMalformedFieldLines)) + "\r\n";
+    const bool first = GENERATE(true, false);
+    INFO(line << result);
+    CheckNotPassedOn("HTTP/1.1 200 OK\r\n" + (first ? line + kSeal : kSeal + line) + result);
+  }
+  SECTION("that begins with a blank") {
+    INFO(result);
+    CheckNotPassedOn("HTTP/1.1 200 OK\r\n X-Odd: v\r\n" + kSeal + result);
+  }
+}
+
 }  // namespace chiverail
--- a/tests/malformed_answers.h
+++ b/tests/malformed_answers.h
@@ -16,6 +16,25 @@
     "\r\nresult",
 };
 
+// Field lines whose name is no token (RFC 9110, section 5.1). A line that begins with a blank is
+// one of them only as the first: otherwise it continues the line before it (RFC 9112, section 5.2).
+inline const std::vector<std::string> kMalformedFieldLines{
+    "X-Odd Name: v",
+    "X-Odd : v",
+    "X-Odd\tName: v",
+    "X-Odd\x01Name: v",
+    "X-Odd\x7f: v",
+    std::string("X-Odd\0Name: v", 13),
+    "X-Odd\rName: v",
+    "X-Odd(Name): v",
+    "X-Odd",
+    ": v",
+    "Content-Length : 2",
+    "Content Length: 2",
+    "Content-Length\x01: 2",
+    "Transfer-Encoding : chunked",
+};
+
 }  // namespace chiverail
 
 #endif  // CHIVERAIL_TESTS_MALFORMED_ANSWERS_H_
