Take no response in a transfer coding other than chunked

Callers got a 200 with a coded body and without the field that names the coding, so a body that is not the upstream's: "Transfer-Encoding: chunked, gzip" or "odd" was passed on with the bytes as they came.

Cause: Beast's parser decodes a body whose last coding is chunked and ignores all other codings, and Transfer-Encoding is a hop-by-hop field that the relay drops. The relay sends no TE field, so an upstream may use chunked only (RFC 9112, section 7.4). The parser of responses now fails for any other value; a value that is twice there failed before.

--- a/src/http_message.cc
+++ b/src/http_message.cc
@@ -45,7 +45,12 @@
     head.reason = Text(reason);
     head.http_1_0 = version < 11;
   }
-  void on_field_impl(http::field, View name, View value, Error&) override {
+  void on_field_impl(http::field field, View name, View value, Error& error) override {
+    if (!is_request && field == http::field::transfer_encoding &&
+        !IsSupportedCoding({value.data(), value.size()})) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
     head.fields.emplace_back(Text(name), Text(value));
   }
   void on_header_impl(Error&) override {}
@@ -126,6 +131,10 @@
   return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
 
+bool IsSupportedCoding(std::string_view transfer_encoding) {
+  return beast::iequals({transfer_encoding.data(), transfer_encoding.size()}, "chunked");
+}
+
 bool IsHopByHopField(std::string_view name, std::string_view connection) {
   static constexpr std::array<std::string_view, 10> kFields{"Connection",
                                                             "Keep-Alive",
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -50,6 +50,10 @@
 // Compares two header field names case-insensitively.
 bool SameFieldName(std::string_view a, std::string_view b);
 
+// Returns whether a body with this value of Transfer-Encoding can be decoded. Only chunked can be,
+// and no peer may use another coding unasked (RFC 9112, section 7.4).
+bool IsSupportedCoding(std::string_view transfer_encoding);
+
 // True for hop-by-hop fields, which are never forwarded, and for Content-Length, which is generated
 // for each hop. `connection` is the value of the message's Connection field, whose tokens name
 // further hop-by-hop fields.
@@ -59,7 +63,7 @@
 
 // Incremental parser of one message, based on Beast's parser. The caller passes in received bytes
 // and takes out the head and pieces of the body. Rejects messages whose framing is ambiguous and
-// responses with a status that HTTP does not define.
+// responses with a status that HTTP does not define or a transfer coding that is not supported.
 class HttpMessageParser {
  public:
   // Messages above `max_head_bytes` or `max_body_bytes` are rejected.
--- a/tests/malformed_answer_test.cc
+++ b/tests/malformed_answer_test.cc
@@ -91,4 +91,13 @@
   }
 }
 
+// Guards against a coded body that is passed on without the field that names its coding.
+TEST_CASE("An answer in a transfer coding other than chunked is not passed on") {
+  const std::string coding = GENERATE(from_range(kUnsupportedCodings));
+  const std::string result = GENERATE(from_range(kCodedResults));
+  INFO(coding << result);
+  CheckNotPassedOn("HTTP/1.1 200 OK\r\n" + kSeal + "Transfer-Encoding: " + coding + "\r\n" +
+                   result);
+}
+
 }  // namespace chiverail
--- a/tests/malformed_answers.h
+++ b/tests/malformed_answers.h
@@ -35,6 +35,18 @@
     "Transfer-Encoding : chunked",
 };
 
+// Transfer codings other than chunked alone. The relay asks for none of them and can't decode them.
+inline const std::vector<std::string> kUnsupportedCodings{
+    "odd", "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;odd=1", "",
+};
+
+// A body in chunks, and without them.
+inline const std::vector<std::string> kCodedResults{
+    "\r\n6\r\nresult\r\n0\r\n\r\n",
+    "\r\nresult",
+    "Content-Length: 6\r\n\r\nresult",
+};
+
 }  // namespace chiverail
 
 #endif  // CHIVERAIL_TESTS_MALFORMED_ANSWERS_H_
