Check the transfer coding of responses in the daemon's client too

The daemon took the body of a response in another coding than chunked for the response's own: it would have been stored as the result of a call, or read as a row of the platform.

HttpConnection now throws HttpError for such a response, so that its request is in doubt.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "connect_check.h"
+#include "http_message.h"
 
 namespace chiverail {
 
@@ -169,6 +170,12 @@
     if (!IsHttpStatus(status())) {
       throw HttpError("no response: status " + std::to_string(status()), true);
     }
+    const auto codings = parser_->get().equal_range(http::field::transfer_encoding);
+    for (auto field = codings.first; field != codings.second; ++field) {
+      if (!IsSupportedCoding(std::string_view(field->value().data(), field->value().size()))) {
+        throw HttpError("no response: unsupported transfer coding", true);
+      }
+    }
   }
 
   // A response that only the end of its connection ends is whole if its sender goes on: the
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -259,6 +259,17 @@
   });
 }
 
+// Guards against a coded body that is taken for the response's own.
+TEST_CASE("The HTTP client takes no response in a transfer coding other than chunked") {
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + GENERATE(from_range(kUnsupportedCodings)) +
+      "\r\n" + GENERATE(from_range(kCodedResults));
+  INFO(response);
+  RunWithRawServer(response, [](auto& client, auto& address, auto yield) {
+    CheckNoResponse(client, address, yield);
+  });
+}
+
 // Guards against streams that break off and look complete to callers that don't know chunks.
 TEST_CASE("A stream for a caller of HTTP/1.0") {
   const std::string request = "GET / HTTP/1.0\r\n\r\n";
