Test answers that are cut by a reset while their request is being written

Reported of other systems: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection, and the caller got that part as a complete answer. It is handled: the reset makes the answer a 502, or breaks off one of over 64 KB.

The test has upstreams that reset the connection, or close it with unread bytes, while 3 MB are written to them, after a small and after a large part of the body, for each kind of route. It passed when it first ran, with no change of the product, and so did its counterpart, an early answer whose upstream reads the whole request (aarch64).

--- a/tests/ended_early_answer_test.cc
+++ b/tests/ended_early_answer_test.cc
@@ -139,4 +139,49 @@
   }
 }
 
+// Guards against the part of an answer that an upstream in trouble had sent when it reset the
+// connection, while the request was still being written.
+TEST_CASE("An answer without a length that ends before its request was read is not whole") {
+  const std::string path = GENERATE("/read/x", "/book/x", "/chat/x");
+  std::string part = kUntilClose;
+  for (int events = GENERATE(1, 8000); events > 0; --events) {
+    part += kFirstEvent;
+  }
+  std::size_t size = 3 << 20;
+  RawServer::Handler end;
+  SECTION("by a reset") {
+    end = [&](RawServer& server, int) { server.SendAndClose(part, true); };
+  }
+  SECTION("by a close with unread bytes") {
+    end = [&](RawServer& server, int) { server.SendAndClose(part); };
+  }
+  INFO(path << ", " << part.size() << " bytes for " << size);
+  RawFixture fixture(end);
+  fixture.server.LimitReceiveBuffer();
+  const CallerResponse response =
+      fixture.SendAndWait(RelayFixture::Request(path, "", "key", 2000, std::string(size, 'x')));
+  CHECK(response.ended);
+  CHECK_FALSE((response.status == 200 && response.complete));
+}
+
+TEST_CASE("An early answer without a length is whole if its upstream reads the request") {
+  const std::string path = GENERATE("/read/x", "/book/x", "/chat/x");
+  const bool stops = GENERATE(false, true);
+  RawFixture fixture(
+      [&](RawServer& server, int) { server.SendAndShutDown(kUntilClose + kFirstEvent); });
+  // The instance begins to stop while it waits for the upstream to read.
+  boost::asio::steady_timer stop(fixture.io, milliseconds(20));
+  if (stops) {
+    stop.async_wait([&](const auto&) {
+      const TimePoint now = BootTimeNow();
+      fixture.relay.BeginStop(now + seconds(2), now + seconds(2), now);
+    });
+  }
+  const CallerResponse response =
+      fixture.SendAndWait(RelayFixture::Request(path, "", "key", 2000, std::string(3 << 20, 'x')));
+  CHECK(response.status == 200);
+  CHECK(response.complete);
+  CHECK(response.body == kFirstEvent);
+}
+
 }  // namespace chiverail
--- a/tests/raw_fixture.h
+++ b/tests/raw_fixture.h
@@ -55,6 +55,24 @@
         });
   }
 
+  // Sends the bytes, ends its side of the connection and reads until the peer closes, in pieces of
+  // at most 64 KB with `pause` after each.
+  void SendAndShutDown(std::string bytes, Duration pause = {}) {
+    const auto kept = std::make_shared<std::string>(std::move(bytes));
+    const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket_));
+    boost::asio::async_write(*socket, boost::asio::buffer(*kept),
+                             [kept, socket, pause](const boost::system::error_code&, std::size_t) {
+                               socket->shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+                               ReadToEnd(socket, pause);
+                             });
+  }
+
+  // Has the kernel hold few bytes that have not been read, on connections that come later.
+  void LimitReceiveBuffer() {
+    constexpr int kBytes = 16 * 1024;
+    acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(kBytes));
+  }
+
   // Accepts no further connections, as if the process had ended.
   void StopAccepting() { acceptor_.close(); }
 
@@ -83,6 +101,23 @@
   int connections() const { return connections_; }
 
  private:
+  static void ReadToEnd(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket,
+                        Duration pause) {
+    const auto piece = std::make_shared<std::string>(64 * 1024, '\0');
+    socket->async_read_some(
+        boost::asio::buffer(*piece),
+        [socket, pause, piece](const boost::system::error_code& error, std::size_t) {
+          if (error) {
+            return;
+          }
+          const auto timer =
+              std::make_shared<boost::asio::steady_timer>(socket->get_executor(), pause);
+          timer->async_wait([socket, pause, timer](const boost::system::error_code&) {
+            ReadToEnd(socket, pause);
+          });
+        });
+  }
+
   void Accept() {
     acceptor_.async_accept(
         [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -174,10 +174,11 @@
   static std::string Request(const std::string& path,
                              const std::string& extra = "",
                              const std::string& key = "key",
-                             int deadline_ms = 2000) {
+                             int deadline_ms = 2000,
+                             const std::string& body = "body") {
     return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\n" +
            "Workspace-Key: " + key + "\r\nRequest-Deadline-Ms: " + std::to_string(deadline_ms) +
-           "\r\n" + extra + "Content-Length: 4\r\n\r\nbody";
+           "\r\n" + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
   // Sends a request and runs the relay until the response has ended.
