Take no answer for whole whose upstream resets the connection after its end

Callers got part of a body as a complete answer: an upstream had answered a long upload at once with a 200 without a length, sent a part, closed its side and reset the connection. Found beside a reported case, a reset with no regular end before it, which is handled.

Cause: once it has read the end of the connection, the relay read nothing more, so that a reset that came after it was not seen. An error of the connection says that such an answer isn't whole (RFC 9112, section 8). RelayCall now asks the socket after the wait that confirms the end: the answer is broken if the connection has failed, or if the upstream takes nothing more of a request that it has not read. While it goes on to read, its early answer stays valid and the relay waits.

Reading is now resumed only on a connection on which it was paused.

A reset more than 30 ms after the end of an answer whose request was taken whole is not seen.

--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -83,10 +83,11 @@
   void OnHead(ResponseHead head);
   void OnBody(ResponseBody body);
   void OnEnd();
-  // Ends an answer without a length if its upstream accepts a new connection, of which at most
-  // `checks` are tried. A connection also ends regularly if its process is killed.
-  void ConfirmEnd(int checks);
-  void OnEndConfirmed(ConnectResult result);
+  // Ends an answer without a length if its upstream has taken the request, of which it had not
+  // taken `unread` bytes before, and accepts a new connection, of which at most `checks` are tried.
+  // A connection also ends regularly if its process is killed, or just before it is reset.
+  void ConfirmEnd(int checks, std::size_t unread);
+  void OnEndConfirmed(ConnectResult result, std::size_t unread);
   // Handles a whole answer.
   void CompleteAnswer();
   BodyFraming StreamFraming() const;
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -232,28 +232,38 @@
     FailAttempt(AttemptFailure::kBroken, std::string(reason));
   } else if (head_->framing == BodyFraming::kClose) {
     attempt_deadline_ = {};  // the upstream is not silent
-    ConfirmEnd(kEndChecks);
+    ConfirmEnd(kEndChecks, request_.body.size());
   } else {
     CompleteAnswer();
   }
 }
 
-void RelayCall::ConfirmEnd(int checks) {
-  CheckConnect(relay_.io(), connection_->address(), kProcessEndTime,
-               UpstreamConnection::kConnectTimeout,
-               [self = shared_from_this(), checked = connection_, checks](ConnectResult result) {
-                 if (self->connection_ != checked) {
-                   return;  // the attempt has ended
-                 }
-                 if (result == ConnectResult::kUnknown && checks > 1) {
-                   self->ConfirmEnd(checks - 1);
-                 } else {
-                   self->OnEndConfirmed(result);
-                 }
-               });
+void RelayCall::ConfirmEnd(int checks, std::size_t unread) {
+  CheckConnect(
+      relay_.io(), connection_->address(), kProcessEndTime, UpstreamConnection::kConnectTimeout,
+      [self = shared_from_this(), checked = connection_, checks, unread](ConnectResult result) {
+        if (self->connection_ != checked) {
+          return;  // the attempt has ended
+        }
+        if (result == ConnectResult::kUnknown && checks > 1) {
+          self->ConfirmEnd(checks - 1, unread);
+        } else {
+          self->OnEndConfirmed(result, unread);
+        }
+      });
 }
 
-void RelayCall::OnEndConfirmed(ConnectResult result) {
+void RelayCall::OnEndConfirmed(ConnectResult result, std::size_t unread) {
+  const std::optional<std::size_t> still_unread = connection_->Unacknowledged();
+  if (still_unread && *still_unread > 0 && *still_unread < unread) {
+    ConfirmEnd(kEndChecks, *still_unread);
+    return;
+  }
+  if (still_unread != 0) {
+    FailAttempt(AttemptFailure::kBroken,
+                "the upstream closed the connection before it had read the request");
+    return;
+  }
   new_connection_ = result;
   relay_.metrics().Add(Counter::kClosedAnswers, 1,
                        std::string(NameOf(kConnectResultNames, result)));
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -6,8 +6,10 @@
 #include <ctime>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
@@ -53,6 +55,17 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+std::optional<std::size_t> UnacknowledgedBytes(tcp::socket& socket) {
+  const int fd = socket.native_handle();
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+    return std::nullopt;
+  }
+  int count = 0;
+  return ioctl(fd, SIOCOUTQ, &count) == 0 && count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
 SocketIo::SocketIo(tcp::socket socket) : socket_(std::move(socket)) {}
 
 SocketIo::~SocketIo() {
@@ -177,6 +190,11 @@
   return count > 0;
 }
 
+std::optional<std::size_t> SocketIo::Unacknowledged() {
+  const auto written = open() ? UnacknowledgedBytes(socket_) : std::nullopt;
+  return written ? std::optional(*written + unsent()) : std::nullopt;
+}
+
 void SocketIo::Close() {
   boost::system::error_code ignored;
   unsent_.clear();
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -47,6 +47,7 @@
   // Pauses and resumes reading, so that a slow receiver applies back pressure to the sender.
   void PauseReading() { paused_ = true; }
   void ResumeReading();
+  bool reading_paused() const { return paused_; }
 
   // Discards queued bytes and closes the socket. The kernel sends a reset if received bytes are
   // unread.
@@ -70,6 +71,10 @@
   // True if received bytes wait to be read. Reports an error of the socket like a read.
   bool HasUnread();
 
+  // Number of sent bytes, queued ones included, that the peer has not acknowledged; absent if the
+  // connection has failed.
+  std::optional<std::size_t> Unacknowledged();
+
   bool open() const { return socket_.is_open(); }
 
   boost::asio::ip::tcp::socket& socket() { return socket_; }
@@ -100,6 +105,11 @@
 // unacknowledged and an unreachable peer may go undetected.
 void SetPeerTimeout(boost::asio::ip::tcp::socket& socket, Duration timeout);
 
+// Returns the number of written bytes that the peer has not acknowledged, or nullopt if the
+// connection has failed, such as by a reset. Unlike a read it also shows a reset that follows the
+// end of the received stream. An error is reported once.
+std::optional<std::size_t> UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace chiverail
 
 #endif  // CHIVERAIL_SOCKET_IO_H_
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -258,6 +258,12 @@
   }
 }
 
+void UpstreamConnection::ResumeReading() {
+  if (io_->reading_paused()) {
+    io_->ResumeReading();
+  }
+}
+
 bool UpstreamConnection::Reusable() {
   if (!reusable_ || !io_ || !io_->open()) {
     return false;
--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -70,9 +70,14 @@
   // True if received bytes wait to be read, since reading is paused or the process was delayed.
   bool HasUnread() const { return io_ && io_->HasUnread(); }
 
-  // Pauses and resumes reading while the receiver of the response is slow.
+  // Number of bytes of the request that the upstream has not taken, which may be more than 0 after
+  // an early response; absent if the connection has failed.
+  std::optional<std::size_t> Unacknowledged() { return io_->Unacknowledged(); }
+
+  // Pauses and resumes reading while the receiver of the response is slow. Resuming has no effect
+  // on a connection that is not paused: a second read of its end would close it.
   void PauseReading() { io_->PauseReading(); }
-  void ResumeReading() { io_->ResumeReading(); }
+  void ResumeReading();
 
   const std::string& address() const { return address_; }
   TimePoint idle_since() const { return idle_since_; }
--- a/tests/raw_fixture.h
+++ b/tests/raw_fixture.h
@@ -55,6 +55,24 @@
         });
   }
 
+  // Sends the bytes, ends its side of the connection regularly and resets the connection after
+  // `delay`. Nothing more of the request is read.
+  void SendAndEndThenReset(std::string bytes, Duration delay) {
+    const auto kept = std::make_shared<std::string>(std::move(bytes));
+    const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket_));
+    boost::asio::async_write(
+        *socket, boost::asio::buffer(*kept),
+        [kept, socket, delay](const boost::system::error_code&, std::size_t) {
+          socket->shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+          const auto timer = std::make_shared<boost::asio::steady_timer>(socket->get_executor());
+          timer->expires_after(delay);
+          timer->async_wait([socket, timer](const boost::system::error_code&) {
+            socket->set_option(boost::asio::socket_base::linger(true, 0));
+            socket->close();
+          });
+        });
+  }
+
   // Sends the bytes, ends its side of the connection and reads until the peer closes, in pieces of
   // at most 64 KB with `pause` after each.
   void SendAndShutDown(std::string bytes, Duration pause = {}) {
