Notice a reset after the end of a response in the daemon's client too

The daemon took part of a body for a whole response if its sender closed its side just before it reset the connection, with the request unread: the part would have been stored as the result of a call that may run once.

Cause: as in the gateway, nothing looked at the connection after its end. HttpConnection now asks the socket after the wait that confirms the end. While the sender goes on to read the request, the exchange waits, up to the time that the body had.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include <limits>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -11,6 +13,7 @@
 
 #include "connect_check.h"
 #include "http_message.h"
+#include "socket_io.h"
 
 namespace chiverail {
 
@@ -26,6 +29,7 @@
 constexpr std::size_t kMaxLineBytes = 1u << 20;
 constexpr int kUserTimeoutMs = 10'000;  // limit for unacknowledged data (TCP_USER_TIMEOUT)
 
+using Clock = std::chrono::steady_clock;
 using WireRequest = http::request<http::string_body>;
 
 WireRequest ToWire(const std::string& address, const HttpRequest& request) {
@@ -90,7 +94,7 @@
       throw HttpError("cannot connect to " + address + ": " + error.message(), false);
     }
     SetSocketOptions(stream_.socket());
-    opened_ = std::chrono::steady_clock::now();
+    opened_ = Clock::now();
   }
 
   // Writes a request and reads the response header.
@@ -112,13 +116,14 @@
 
   HttpResponse ReadAll(asio::yield_context yield) {
     boost::system::error_code error;
-    stream_.expires_after(timeouts_.first_byte);
+    const auto deadline = Clock::now() + timeouts_.first_byte;
+    stream_.expires_at(deadline);
     http::async_read(stream_, buffer_, *parser_, yield[error]);
     if (error) {
       throw HttpError("response cut: " + error.message(), true);
     }
     if (parser_->need_eof()) {
-      CheckPeerAccepts(yield);
+      CheckPeerAccepts(deadline, yield);
     }
     auto message = parser_->release();
     HttpResponse response;
@@ -151,9 +156,7 @@
 
   int status() const { return static_cast<int>(parser_->get().result_int()); }
   bool reusable() const { return reusable_; }
-  bool Expired() const {
-    return std::chrono::steady_clock::now() - opened_ > timeouts_.max_pooled_age;
-  }
+  bool Expired() const { return Clock::now() - opened_ > timeouts_.max_pooled_age; }
 
   // Closes with a TCP reset, so that bytes still queued in the socket are not sent.
   void Close() {
@@ -179,14 +182,10 @@
   }
 
   // A response that only the end of its connection ends is whole if its sender goes on: the
-  // connections of a killed process end in the same way.
-  void CheckPeerAccepts(asio::yield_context yield) {
+  // connections of a killed process end in the same way, or just before they are reset.
+  void CheckPeerAccepts(Clock::time_point deadline, asio::yield_context yield) {
+    AwaitRequestTaken(deadline, yield);
     boost::system::error_code error;
-    asio::steady_timer timer(stream_.get_executor(), kProcessEndTime);
-    timer.async_wait(yield[error]);
-    if (closed_) {
-      throw HttpError("response cut: the exchange was given up", true);
-    }
     check_stream_.expires_after(timeouts_.connect);
     check_stream_.async_connect(endpoint_, yield[error]);
     if (error) {
@@ -195,6 +194,29 @@
     check_stream_.close();
   }
 
+  // Returns once the peer has taken the whole request, which it may still read after its response.
+  // Throws HttpError if it takes nothing more of it, resets the connection or is late.
+  void AwaitRequestTaken(Clock::time_point deadline, asio::yield_context yield) {
+    asio::steady_timer timer(stream_.get_executor());
+    std::size_t unread = std::numeric_limits<std::size_t>::max();
+    while (true) {
+      boost::system::error_code ignored;
+      timer.expires_after(kProcessEndTime);
+      timer.async_wait(yield[ignored]);
+      if (closed_) {
+        throw HttpError("response cut: the exchange was given up", true);
+      }
+      const auto still_unread = UnacknowledgedBytes(stream_.socket());
+      if (still_unread == std::size_t{0}) {
+        return;
+      }
+      if (!still_unread || *still_unread >= unread || Clock::now() > deadline) {
+        throw HttpError("response cut: its sender has not read the request", true);
+      }
+      unread = *still_unread;
+    }
+  }
+
   void ReadSome(asio::yield_context yield) {
     boost::system::error_code error;
     stream_.expires_after(timeouts_.gap);
@@ -236,7 +258,7 @@
   std::size_t consumed_ = 0;
   bool reusable_ = false;
   bool closed_ = false;
-  std::chrono::steady_clock::time_point opened_;
+  Clock::time_point opened_;
 };
 
 HttpStream::HttpStream(std::unique_ptr<HttpConnection> connection)
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -42,17 +42,12 @@
 
 constexpr int kRawServerPort = 18'601;
 
-// Runs `body` as a coroutine against a raw server that answers each request with `bytes` and
-// closes; if `ends` is true, it accepts no connection after its first answer has begun.
+// Runs `body` as a coroutine against a raw server.
 template <typename Body>
-void RunWithRawServer(const std::string& bytes, Body body, bool ends = false) {
+void RunWithRawServer(RawServer::Handler handler, Body body) {
   boost::asio::io_context io(1);
-  RawServer server(io, kRawServerPort, [&](RawServer& raw, int) {
-    if (ends) {
-      raw.StopAccepting();
-    }
-    raw.SendAndClose(bytes);
-  });
+  RawServer server(io, kRawServerPort, std::move(handler));
+  server.LimitReceiveBuffer();
   HttpClient client(io, kShortTimeouts);
   const std::string address = "127.0.0.1:" + std::to_string(kRawServerPort);
   bool ended = false;
@@ -68,6 +63,20 @@
   CHECK(ended);
 }
 
+// The same with a server that answers each request with `bytes` and closes; if `ends` is true, it
+// accepts no connection after its first answer has begun.
+template <typename Body>
+void RunWithRawServer(const std::string& bytes, Body body, bool ends = false) {
+  RunWithRawServer(
+      [&](RawServer& raw, int) {
+        if (ends) {
+          raw.StopAccepting();
+        }
+        raw.SendAndClose(bytes);
+      },
+      std::move(body));
+}
+
 // What a raw caller has received from a server when its connection ends or nothing more arrives.
 struct RawExchange {
   RawExchange(HttpHandler handler, const std::string& request) {
@@ -219,6 +228,29 @@
       CHECK(client.Prepare(address, yield)->Send(address, request, yield).body == "one");
     });
   }
+  SECTION("by the end of its connection, if its sender goes on to read the request") {
+    const HttpRequest upload{"POST", "/", {}, std::string(3 << 20, 'x')};
+    RunWithRawServer(
+        [](RawServer& raw, int) {
+          raw.SendAndShutDown("HTTP/1.1 200 OK\r\n\r\none", milliseconds(1));
+        },
+        [&](auto& client, auto& address, auto yield) {
+          CHECK(client.Send(address, upload, yield).body == "one");
+        });
+  }
+  SECTION("not by the end of its connection just before a reset") {
+    const std::size_t size = GENERATE(30 << 10, 3 << 20);
+    const HttpRequest upload{"POST", "/", {}, std::string(size, 'x')};
+    const Duration delay = GENERATE(Duration{}, milliseconds(2));
+    INFO(size);
+    RunWithRawServer(
+        [&](RawServer& raw, int) { raw.SendAndEndThenReset("HTTP/1.1 200 OK\r\n\r\non", delay); },
+        [&](auto& client, auto& address, auto yield) {
+          CHECK(BytesWrittenOnFailure([&] { client.Send(address, upload, yield); }) == true);
+          CHECK(BytesWrittenOnFailure(
+                    [&] { client.Prepare(address, yield)->Send(address, upload, yield); }) == true);
+        });
+  }
   SECTION("not by the end of its connection and its sender") {
     const bool prepared = GENERATE(false, true);
     const auto send = [&](auto& client, auto& address, auto yield) {
