Skip interim responses in the daemon's client

The daemon took an interim response, such as "103 Early Hints", for the answer: it was stored as the result of a call or refused a stream, and the answer that followed it was left in the connection. Found by the check of all places that read answers; the gateway skips interim responses.

Cause: Beast reads one message, and HttpConnection took the first. It now reads on until the final response, for at most 16 interim ones, which is the gateway's limit.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -97,21 +97,21 @@
     opened_ = Clock::now();
   }
 
-  // Writes a request and reads the response header.
+  // Writes a request and reads the header of its final response.
   void SendAndReadHeader(const WireRequest& request, asio::yield_context yield) {
-    parser_ = std::make_unique<http::response_parser<http::string_body>>();
-    parser_->body_limit(kMaxResponseBytes);
     boost::system::error_code error;
     stream_.expires_after(timeouts_.first_byte);
     const std::size_t written = http::async_write(stream_, request, yield[error]);
     if (error) {
       throw HttpError("cannot send the request: " + error.message(), written > 0);
     }
-    http::async_read_header(stream_, buffer_, *parser_, yield[error]);
-    if (error) {
-      throw HttpError("no response: " + error.message(), true);
+    ReadHeader(yield);
+    for (int count = 0; IsInterimStatus(status()); ++count) {
+      if (count == kMaxInterimResponses) {
+        throw HttpError("no response: too many interim responses", true);
+      }
+      ReadHeader(yield);
     }
-    CheckHeader();
   }
 
   HttpResponse ReadAll(asio::yield_context yield) {
@@ -168,6 +168,17 @@
   }
 
  private:
+  void ReadHeader(asio::yield_context yield) {
+    parser_ = std::make_unique<http::response_parser<http::string_body>>();
+    parser_->body_limit(kMaxResponseBytes);
+    boost::system::error_code error;
+    http::async_read_header(stream_, buffer_, *parser_, yield[error]);
+    if (error) {
+      throw HttpError("no response: " + error.message(), true);
+    }
+    CheckHeader();
+  }
+
   // Throws HttpError if the header is one that Beast accepts and HTTP does not allow.
   void CheckHeader() const {
     if (!IsHttpStatus(status())) {
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -18,6 +18,14 @@
   return status >= 100 && status <= 599;
 }
 
+// Returns whether the status is that of an interim response, which a final one follows.
+constexpr bool IsInterimStatus(int status) {
+  return status >= 100 && status < 200;
+}
+
+// Limit for interim responses to one request.
+inline constexpr int kMaxInterimResponses = 16;
+
 // A request with its complete body.
 struct HttpRequest {
   std::string method = "GET";
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -20,9 +20,6 @@
 // Limit for received bytes that the parser waits to have more of, such as an endless chunk size.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxResponseHeadBytes;
 
-// Limit for interim responses (1xx) to one request.
-constexpr int kMaxInterimResponses = 16;
-
 // A connection is considered dead if sent bytes stay unacknowledged for this long.
 constexpr Duration kPeerTimeout = milliseconds(2500);
 
@@ -169,7 +166,7 @@
     }
     if (!head_emitted_ && !skipping_response_) {
       const MessageHead& head = parser_->head();
-      if (head.status >= 100 && head.status < 200) {
+      if (IsInterimStatus(head.status)) {
         if (++interim_responses_ > kMaxInterimResponses) {
           Fail("the upstream sent too many interim responses");
           return;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -302,6 +302,35 @@
   });
 }
 
+// Guards against an interim response that is taken for the answer, and an answer that is then taken
+// for the one to the next request.
+TEST_CASE("The HTTP client skips interim responses") {
+  const std::string interim =
+      GENERATE("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+  const HttpRequest request{"POST", "/", {}, "x"};
+  SECTION("before a response") {
+    RunWithRawServer(interim + interim + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none",
+                     [&](auto& client, auto& address, auto yield) {
+                       const HttpResponse response = client.Send(address, request, yield);
+                       CHECK(response.status == 200);
+                       CHECK(response.body == "one");
+                       HttpStream stream = client.Open(address, request, yield);
+                       CHECK(stream.status() == 200);
+                       CHECK(stream.ReadLine(yield) == "one");
+                     });
+  }
+  SECTION("that no response follows") {
+    RunWithRawServer(interim, [](auto& client, auto& address, auto yield) {
+      CheckNoResponse(client, address, yield);
+    });
+  }
+  SECTION("without end") {
+    RunWithRawServer(
+        [&](RawServer& raw, int) { raw.SendForever(interim); },
+        [](auto& client, auto& address, auto yield) { CheckNoResponse(client, address, yield); });
+  }
+}
+
 // Guards against streams that break off and look complete to callers that don't know chunks.
 TEST_CASE("A stream for a caller of HTTP/1.0") {
   const std::string request = "GET / HTTP/1.0\r\n\r\n";
