Don't reuse a connection of the daemon's client that holds bytes after a response

The daemon took a second copy of a response for the one to the next request on that connection, such as a read of a row that got another row. Found by the check of all places that read answers; the gateway's pool checks this.

Cause: the pool kept the bytes that had been read after a response, and did not look whether more had arrived. It now reuses a connection only if nothing has come after its last response, by the check of the gateway's pool, which both share. A copy that comes after that check is still taken for the answer.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -155,7 +155,8 @@
   }
 
   int status() const { return static_cast<int>(parser_->get().result_int()); }
-  bool reusable() const { return reusable_; }
+  // True if the last response was complete and nothing has been received after it.
+  bool Reusable() { return reusable_ && buffer_.size() == 0 && IsQuiet(stream_.socket()); }
   bool Expired() const { return Clock::now() - opened_ > timeouts_.max_pooled_age; }
 
   // Closes with a TCP reset, so that bytes still queued in the socket are not sent.
@@ -321,7 +322,7 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    if (!connection->Expired()) {
+    if (!connection->Expired() && connection->Reusable()) {
       return connection;
     }
   }
@@ -330,7 +331,7 @@
 
 void HttpClient::ReturnToPool(const std::string& address,
                               std::unique_ptr<HttpConnection> connection) {
-  if (!connection->reusable() || connection->Expired()) {
+  if (!connection->Reusable() || connection->Expired()) {
     return;
   }
   auto& idle = idle_[address];
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -55,6 +55,12 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+bool IsQuiet(tcp::socket& socket) {
+  char byte = 0;
+  const auto count = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::optional<std::size_t> UnacknowledgedBytes(tcp::socket& socket) {
   const int fd = socket.native_handle();
   int error = 0;
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -4,8 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include <sys/socket.h>
-
 namespace chiverail {
 
 namespace asio = boost::asio;
@@ -262,12 +260,7 @@
 }
 
 bool UpstreamConnection::Reusable() {
-  if (!reusable_ || !io_ || !io_->open()) {
-    return false;
-  }
-  char byte = 0;
-  const auto count = recv(io_->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return reusable_ && io_ && io_->open() && IsQuiet(io_->socket());
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::Take(const std::string& address,
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -331,6 +331,28 @@
   }
 }
 
+// Guards against bytes after a response that are taken for the response to the next request.
+TEST_CASE("The HTTP client does not reuse a connection with bytes after a response") {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+  const HttpRequest request{"GET", "/", {}, ""};
+  const bool late = GENERATE(false, true);
+  INFO("the second copy comes " << (late ? "late" : "at once"));
+  RunWithRawServer(
+      [&](RawServer& raw, int) {
+        const std::string body = raw.connections() == 1 ? "one" : "two";
+        raw.Send(late ? answer + body : answer + body + answer + body);
+        if (late) {
+          raw.Send(answer + body);
+        }
+      },
+      [&](auto& client, auto& address, auto yield) {
+        CHECK(client.Send(address, request, yield).body == "one");
+        boost::asio::steady_timer pause(yield.get_executor(), milliseconds(20));
+        pause.async_wait(yield);
+        CHECK(client.Send(address, request, yield).body == "two");
+      });
+}
+
 // Guards against streams that break off and look complete to callers that don't know chunks.
 TEST_CASE("A stream for a caller of HTTP/1.0") {
   const std::string request = "GET / HTTP/1.0\r\n\r\n";
