Say in the log why an answer without a length was not whole

Cause: one text stood for a connection that had failed and for an upstream that had stopped reading, and the result of the connection that was tried was missing from the line. Change: two texts, and new_connection in the line, as for the other ends of such answers. The loop that asks until a raw upstream has been drawn stands once, in the fixture; an include of http_message_test.cc is in the formatter's order.

--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -259,14 +259,17 @@
     ConfirmEnd(kEndChecks, *still_unread);
     return;
   }
-  if (still_unread != 0) {
-    FailAttempt(AttemptFailure::kBroken,
-                "the upstream closed the connection before it had read the request");
-    return;
-  }
   new_connection_ = result;
   relay_.metrics().Add(Counter::kClosedAnswers, 1,
                        std::string(NameOf(kConnectResultNames, result)));
+  if (!still_unread) {
+    FailAttempt(AttemptFailure::kBroken, "the connection failed after the end of the answer");
+    return;
+  }
+  if (*still_unread > 0) {
+    FailAttempt(AttemptFailure::kBroken, "the upstream ended its answer without reading on");
+    return;
+  }
   // A process that stops may refuse connections before its last answers have ended.
   const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
   const bool leaves = upstream != nullptr && relay_.IsLeaving(*upstream, BootTimeNow());
--- a/tests/ended_early_answer_test.cc
+++ b/tests/ended_early_answer_test.cc
@@ -15,9 +15,6 @@
 const std::string kFirstEvent = "id: 1\ndata: a\n\n";
 const std::string kSecondEvent = "id: 2\ndata: b\n\n";
 
-// Requests after which one of two idle upstreams, of which one is drawn, has surely been asked.
-constexpr int kMaxTries = 40;
-
 // An upstream that ends regularly within its answer: its connection is closed, and nobody accepts
 // a new one.
 RawServer::Handler EndsAfter(const std::string& bytes) {
@@ -39,8 +36,7 @@
   SECTION("of a call that may be repeated, which is sent to another upstream") {
     RawFixture fixture(EndsAfter(kUntilClose + "resu"));
     fixture.AddUpstream("up-1", FakeUpstream::Succeed);
-    for (int call = 0; call < kMaxTries && fixture.server.connections() == 0; ++call) {
-      const CallerResponse response = fixture.SendAndWait(RelayFixture::Request("/read/x"));
+    for (const CallerResponse& response : fixture.SendUntilAsked("/read/x")) {
       CHECK(response.status == 200);
       CHECK(response.body == "result");
     }
@@ -64,8 +60,7 @@
       caller->SendBody(resumed ? kSecondEvent : kFirstEvent + kSecondEvent);
       caller->EndResponse();
     });
-    for (int stream = 0; stream < kMaxTries && fixture.server.connections() == 0; ++stream) {
-      const CallerResponse response = fixture.SendAndWait(RelayFixture::Request("/chat/x"));
+    for (const CallerResponse& response : fixture.SendUntilAsked("/chat/x")) {
       CHECK(response.complete);
       CHECK(response.body == kFirstEvent + kSecondEvent);
     }
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -1,7 +1,7 @@
 #include "http_message.h"
 
-#include <catch2/catch.hpp>
 #include <spdlog/fmt/fmt.h>
+#include <catch2/catch.hpp>
 
 namespace chiverail {
 namespace {
--- a/tests/malformed_answer_test.cc
+++ b/tests/malformed_answer_test.cc
@@ -13,9 +13,6 @@
 
 const std::string kSeal = "Request-Id: r1\r\nAnswer-Seal: seal\r\n";
 
-// Requests after which one of two idle upstreams, of which one is drawn, has surely been asked.
-constexpr int kMaxTries = 40;
-
 // Checks that the caller of an upstream that sends `answer` gets a failure of the relay's own, and
 // that a request that may be repeated is answered by another upstream.
 void CheckNotPassedOn(const std::string& answer) {
@@ -32,8 +29,7 @@
   SECTION("where another upstream answers") {
     RawFixture fixture(send);
     fixture.AddUpstream("up-1", FakeUpstream::Succeed);
-    for (int call = 0; call < kMaxTries && fixture.server.connections() == 0; ++call) {
-      const CallerResponse response = fixture.SendAndWait(RelayFixture::Request("/read/x"));
+    for (const CallerResponse& response : fixture.SendUntilAsked("/read/x")) {
       CHECK(response.status == 200);
       CHECK(response.body == "result");
     }
--- a/tests/raw_fixture.h
+++ b/tests/raw_fixture.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -195,6 +196,16 @@
                             BootTimeNow());
   }
 
+  // Sends requests until the raw upstream has been asked: one of several idle upstreams is drawn.
+  std::vector<CallerResponse> SendUntilAsked(const std::string& path) {
+    constexpr int kMaxTries = 40;
+    std::vector<CallerResponse> responses;
+    for (int call = 0; call < kMaxTries && server.connections() == 0; ++call) {
+      responses.push_back(SendAndWait(Request(path)));
+    }
+    return responses;
+  }
+
   RawServer server;
 };
 
