Move the requests of a service to a new version in steps, and limit the use of superseded configurations

Roll-outs (src/rollout/): operators order that a service moves to a version whose upstreams run beside the old ones. Instances send the new version a small share, exchange counts of its answers with those of the old version by group of routes, and promote it or roll it back. All decide by the same counts and adopt what another one has decided; the states are recorded in the store under a condition, by one instance after the other. The counts travel as counters beside those of the retry budget, so that the message format is the same. Without an order nothing changes.

Superseded configurations: an instance that knows of a newer configuration went on with its own until that was read, or for 4.6 s with keyed requests. It now refuses all requests as not run once its own was the newest one longer ago than config_apply_ms (3 s on the grown sites) less 0.1 s. Rows that come late for another cause than the last commit's break no rule by this; what is refused is not run and goes to another instance.

--- a/src/decision_log.h
+++ b/src/decision_log.h
@@ -25,10 +25,11 @@
   kConfig,      // a configuration took effect
   kDependency,  // the platform or another instance became unreachable or reachable again
   kQuarantine,  // a prompt segment is held, tried or free again
+  kRollout,     // a roll-out has changed its phase or its share, or its state was recorded
   kError,       // an unexpected error ended a request or a message
   kOmitted,     // number of lines that were dropped
 };
-inline constexpr std::array<EnumName<Decision>, 11> kDecisionNames{{
+inline constexpr std::array<EnumName<Decision>, 12> kDecisionNames{{
     {Decision::kStart, "start"},
     {Decision::kStop, "stop"},
     {Decision::kReload, "reload"},
@@ -38,6 +39,7 @@
     {Decision::kConfig, "config"},
     {Decision::kDependency, "dependency"},
     {Decision::kQuarantine, "quarantine"},
+    {Decision::kRollout, "rollout"},
     {Decision::kError, "error"},
     {Decision::kOmitted, "omitted"},
 }};
--- a/src/fleet_exchange.h
+++ b/src/fleet_exchange.h
@@ -115,6 +115,9 @@
   // Requests and retries of the other instances for a service.
   ServiceUse OthersUse(std::uint32_t service, TimePoint now) const;
 
+  // The same for all services, by tag.
+  std::unordered_map<std::uint32_t, ServiceUse> OthersUses(TimePoint now) const;
+
   // Age of the state behind OthersLoads and OthersUse at the 99th percentile of the instances;
   // nothing if there is none.
   std::optional<Duration> StateAge(TimePoint now) const;
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -37,9 +37,10 @@
   std::uint32_t requests = 0;
 };
 
-// Requests and retries for one service within the window of the retry budget.
+// Requests and retries for one service within the window of the retry budget, or any two counters
+// that are added up over all instances, such as those of a roll-out.
 struct ServiceUse {
-  std::uint32_t service = 0;  // ServiceTag of the service
+  std::uint32_t service = 0;  // ServiceTag of the service, or the tag of the counters
   std::uint32_t requests = 0;
   std::uint32_t retries = 0;
 };
--- a/src/fleet_totals.cc
+++ b/src/fleet_totals.cc
@@ -100,6 +100,10 @@
   return OthersTotals(now).loads;
 }
 
+std::unordered_map<std::uint32_t, ServiceUse> FleetExchange::OthersUses(TimePoint now) const {
+  return OthersTotals(now).services;
+}
+
 ServiceUse FleetExchange::OthersUse(std::uint32_t service, TimePoint now) const {
   const Totals others = OthersTotals(now);
   const auto found = others.services.find(service);
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -35,11 +35,13 @@
 RelayLimits RelayLimitsOf(const GatewaySettings& settings) {
   RelayLimits limits;
   limits.key_age = settings.MaxKeyAge();
+  limits.superseded_age = settings.MaxSupersededAge();
   limits.retry_ratio = settings.retry_ratio;
   limits.retry_slack = settings.retry_slack;
   limits.cold_overage = settings.cold_overage;
   limits.cold_slack = settings.cold_slack;
   limits.max_rest = settings.max_upstream_rest;
+  limits.rollout_share = settings.rollout_share;
   return limits;
 }
 
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -57,6 +57,9 @@
 // Part of the withdrawal time that is reserved for sending a request to its upstream.
 constexpr Duration kKeyMargin = milliseconds(400);
 
+// Part of the time for a new configuration that is reserved for the resolution of ages.
+constexpr Duration kConfigMargin = milliseconds(100);
+
 // A stopping process exits this long before it would be killed.
 constexpr Duration kStopMargin = milliseconds(900);
 
@@ -120,6 +123,12 @@
       {"max_upstream_rest_ms", DurationRow{&S::max_upstream_rest, 1000, 3'600'000, 60'000},
        "Longest time for which one answer of an upstream may turn this instance away "
        "(`Retry-After`)."},
+      {"config_apply_ms", DurationRow{&S::config_apply, 0, 600'000, 0},
+       "Time after a change of the configuration in which all instances have to use it: one that "
+       "knows of a newer configuration and has not read it by then refuses all requests as not "
+       "run. 0 for no limit."},
+      {"rollout_share", NumberRow{&S::rollout_share, 0, 1, 0.1},
+       "Share of a service's requests that a new version may get until it was found to be sound."},
       {"link_mbps", NumberRow{&S::link_mbps, 0.001, 1e6, 1000},
        "Bandwidth of this instance in Mbit/s; instances with more read the store for the others."},
       {"cpu_cores", NumberRow{&S::cpu_cores, 0.001, 1024, 1},
@@ -237,6 +246,12 @@
   return key_withdrawal - kKeyMargin;
 }
 
+Duration GatewaySettings::MaxSupersededAge() const {
+  return config_apply == Duration::zero()
+             ? Duration::zero()
+             : std::max<Duration>(kConfigMargin, config_apply - kConfigMargin);
+}
+
 Duration GatewaySettings::DrainDeadline() const {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(stop_grace_s)) -
          kStopMargin;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -41,6 +41,8 @@
   double cold_overage = 0;
   double cold_slack = 0;
   Duration max_upstream_rest{};
+  Duration config_apply{};
+  double rollout_share = 0;
   double stop_grace_s = 0;
   double link_mbps = 0;
   double cpu_cores = 0;
@@ -52,6 +54,10 @@
   // Maximum age of the configuration at which requests with a key are served.
   Duration MaxKeyAge() const;
 
+  // Age at which a configuration that is known to be superseded is no longer used; zero for no
+  // limit.
+  Duration MaxSupersededAge() const;
+
   // Time after which a stopping instance aborts the requests that are still running.
   Duration DrainDeadline() const;
 
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -83,6 +83,8 @@
      "Answers of upstreams with a request limit or a rest that can't be read."},
     {Counter::kStopRequests, "chiverail_stop_requests_total", "outcome",
      "Requests of the gateway that ended after SIGTERM."},
+    {Counter::kRolloutAnswers, "chiverail_rollout_answers_total", "side",
+     "Answers during a roll-out, by version (old, new) and whether they were sound."},
 };
 
 constexpr MetricRow<Gauge> kGauges[] = {
@@ -120,6 +122,8 @@
      "Time since the configuration in force was last confirmed as the newest."},
     {Gauge::kStoreEra, "chiverail_store_era", "",
      "Number that the platform's store raises each time it comes back from an older copy."},
+    {Gauge::kRolloutShare, "chiverail_rollout_share", "service",
+     "Share of a service's requests that goes to the version of its last roll-out."},
 };
 
 constexpr MetricRow<Summary> kSummaries[] = {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -45,6 +45,7 @@
   kClosedAnswers,
   kMalformedTerms,
   kStopRequests,
+  kRolloutAnswers,
 };
 
 // Gauges; each shows the last value set.
@@ -68,6 +69,7 @@
   kQuarantinedSegments,
   kUpstreamTerms,
   kStoreEra,
+  kRolloutShare,
 };
 
 // Distributions of times, in seconds.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -60,7 +60,9 @@
       fleet_(std::move(self), period, FleetHooks()),
       pool_(io),
       queue_scan_timer_(io),
-      random_(std::random_device{}()) {}
+      random_(std::random_device{}()) {
+  rollouts_.SetMaxShare(limits_.rollout_share);
+}
 
 ExchangeHooks Relay::FleetHooks() {
   ExchangeHooks hooks;
@@ -119,6 +121,11 @@
   return config_confirmed_at_ != TimePoint{} && now < config_confirmed_at_ + limits_.key_age;
 }
 
+bool Relay::IsSuperseded(TimePoint now) const {
+  return limits_.superseded_age > Duration::zero() && superseded_check_ && superseded_check_() &&
+         config_confirmed_at_ + limits_.superseded_age <= now;
+}
+
 void Relay::UpdatePeerLoads(TimePoint now) {
   const auto loads = fleet_.OthersLoads(now);
   std::vector<std::uint32_t> tags;
@@ -145,6 +152,7 @@
   metrics_.Set(Gauge::kUpstreamTerms, static_cast<double>(counts.resting), "resting");
   quarantine_.Update(now);
   LogQuarantineChanges();
+  UpdateRollouts(now);
   for (const auto& [service, service_queue] : service_queues_) {
     metrics_.Set(Gauge::kWaitingRequests, static_cast<double>(service_queue.queue.size()), service);
   }
@@ -178,6 +186,9 @@
   for (auto& [service, budget] : budgets_) {
     uses.push_back({ServiceTag(service), budget.requests(now), budget.retries(now)});
   }
+  for (const Tally& tally : rollouts_.Tallies()) {
+    uses.push_back({tally.tag, tally.first, tally.second});
+  }
   return uses;
 }
 
@@ -277,6 +288,11 @@
   query.cold_limit = [this, config](const UpstreamState& upstream) {
     return config == nullptr ? kNoLimit : ColdLimit(*config, upstream);
   };
+  if (rollouts_.Find(service) != nullptr) {
+    query.eligible = [this, service](const UpstreamState& upstream) {
+      return rollouts_.MayTakeAny(service, upstream.entry.id, upstream.entry.version);
+    };
+  }
   query.allowance = [this, now = BootTimeNow()](const UpstreamState& upstream) {
     return AllowanceOf(upstream, now);
   };
@@ -384,6 +400,7 @@
 
 void Relay::SetLimits(const RelayLimits& limits) {
   limits_ = limits;
+  rollouts_.SetMaxShare(limits.rollout_share);
   cold_limits_.clear();
   for (auto& [service, budget] : budgets_) {
     budget.SetLimits(limits.retry_ratio * kBudgetShare, limits.retry_slack * kBudgetShare);
--- a/src/relay.h
+++ b/src/relay.h
@@ -22,6 +22,7 @@
 #include "header_names.h"
 #include "metrics.h"
 #include "prompt_quarantine.h"
+#include "rollout/rollout_set.h"
 #include "route_table.h"
 #include "sliding_window_retry_budget.h"
 #include "slot_queue.h"
@@ -39,11 +40,15 @@
 // Limits of the relay, taken from the settings.
 struct RelayLimits {
   Duration key_age{};               // keyed requests are refused if the configuration is older
+  // All requests are refused if the configuration is known to be superseded and was the newest one
+  // longer ago than this; zero for no limit.
+  Duration superseded_age{};
   double retry_ratio = 0.1;         // retries per request
   double retry_slack = 10;          // additional retries, shared by all instances
   double cold_overage = 1.0;        // multiple of a service's cold rate that all instances may send
   double cold_slack = 0;            // additional requests per second beyond cold_overage
   Duration max_rest = seconds(60);  // for which one answer of an upstream may turn an instance away
+  double rollout_share = 0.1;       // of a service's requests that a faulty new version may get
 };
 
 // Where a configuration was read.
@@ -80,7 +85,9 @@
   bool HasFreshConfig(TimePoint now) const;
 
   // True if the relay can serve requests.
-  bool Accepting(TimePoint now) const { return table_ != nullptr && HasFreshConfig(now); }
+  bool Accepting(TimePoint now) const {
+    return table_ != nullptr && HasFreshConfig(now) && !IsSuperseded(now);
+  }
 
   // Updates the upstreams' loads by the requests of other instances. Called when their state or the
   // set of upstreams has changed.
@@ -137,6 +144,19 @@
   // by what they have asked.
   Duration TermsRetryDelay(const std::string& service, TimePoint now);
 
+  // Records an answer of an upstream of this version, if the service is being moved to another one.
+  void OnRolloutAnswer(const std::string& service,
+                       const std::string& version,
+                       const std::string& route,
+                       const AnswerSample& sample);
+
+  // Sets the function that returns whether another instance has a newer configuration.
+  void SetSupersededCheck(std::function<bool()> check) { superseded_check_ = std::move(check); }
+
+  // True if another instance has had a newer configuration for so long that the one in force must
+  // not be used any more.
+  bool IsSuperseded(TimePoint now) const;
+
   // Sets the function that tells the other instances at once what has changed.
   void SetAnnounce(std::function<void()> announce) { announce_ = std::move(announce); }
 
@@ -217,6 +237,7 @@
   CacheHolders& cache_holders() { return cache_holders_; }
   PromptQuarantine& quarantine() { return quarantine_; }
   UpstreamPool& pool() { return pool_; }
+  RolloutSet& rollouts() { return rollouts_; }
   // Metrics label of a route: its name, or "other" beyond the first kMaxRouteLabels routes.
   std::string RouteLabel(const std::string& route);
 
@@ -254,6 +275,8 @@
   void LogQuarantineChanges();
   UpstreamTerms::Standing StandingOf(const UpstreamState& upstream, TimePoint now) const;
   ExchangeHooks FleetHooks();
+  RolloutSources RolloutSourcesAt(TimePoint now);
+  void UpdateRollouts(TimePoint now);
   std::vector<UpstreamLoad> OwnLoads() const;
   std::vector<ServiceUse> OwnUse();
   SlidingWindowRetryBudget& BudgetFor(const std::string& service);
@@ -281,6 +304,8 @@
   std::function<void(const std::string&, const TableNotice&)> on_table_notice_;
   UpstreamTerms terms_;
   std::function<void()> announce_;
+  std::function<bool()> superseded_check_;
+  RolloutSet rollouts_;
   // This instance's shares by upstream tag, for the instances at `shares_at_`.
   std::unordered_map<std::uint32_t, double> cold_limits_;
   std::unordered_map<std::uint32_t, std::optional<UpstreamTerms::Allowance>> allowances_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -73,6 +73,9 @@
   service_ = table_->Service(service_name_);
   class_ = QueueClass(route_->priority - table_->HighestPriority(service_name_),
                       table_->config().low_priority_workspaces.count(workspace_) > 0);
+  if (!relay_.rollouts().empty()) {
+    rollout_draw_ = static_cast<double>(relay_.Random() >> 11) / static_cast<double>(1ull << 53);
+  }
   relay_.CountRequest(service_name_, now);
   caller_->OnDisconnect([self = shared_from_this()] { self->OnCallerDisconnected(); });
   relay_.AddCall(shared_from_this());
@@ -87,6 +90,10 @@
     Refuse(503, "no configuration yet", kRetryElsewhere);
     return false;
   }
+  if (relay_.IsSuperseded(now)) {
+    Refuse(503, "configuration superseded", kRetryElsewhere);
+    return false;
+  }
   route_ = table_->Match(request_.head.Field("Host"), request_.head.target);
   const bool fresh = relay_.HasFreshConfig(now);
   if (route_ == nullptr || route_->targets.empty()) {
@@ -194,7 +201,10 @@
 
 Choice RelayCall::ChooseNext(const ChoiceQuery& query, TimePoint now) {
   const double slot_share = relay_.Shares(service_name_).MaxSlotShare(class_, workspace_);
-  return ChooseUpstream(relay_.upstreams(), query, relay_.LimitsFor(service_, slot_share), now);
+  const ChoiceLimits limits = relay_.LimitsFor(service_, slot_share);
+  return relay_.rollouts().Find(service_name_) == nullptr
+             ? ChooseUpstream(relay_.upstreams(), query, limits, now)
+             : ChooseByVersion(query, limits, now);
 }
 
 bool RelayCall::CanBeSentElsewhere(AttemptFailure failure, TimePoint now) {
@@ -295,6 +305,9 @@
                      const std::vector<std::uint32_t>& holders,
                      TimePoint now) {
   upstream_id_ = upstream.entry.id;
+  upstream_version_ = upstream.entry.version;
+  upstream_cold_ = now < upstream.cold_until;
+  deliveries_ = 0;
   tried_.insert(upstream_id_);
   load_at_send_ = upstream.own_load + upstream.peer_load;
   relay_.upstreams().OnSent(upstream, now);
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -62,6 +62,10 @@
   // Query for the choice of this request's next upstream, and that choice.
   ChoiceQuery NextQuery(TimePoint now);
   Choice ChooseNext(const ChoiceQuery& query, TimePoint now);
+  // The choice if the service is being moved to another version.
+  Choice ChooseByVersion(ChoiceQuery query, const ChoiceLimits& limits, TimePoint now);
+  // Records the end of an attempt for the roll-out of its service.
+  void RecordForRollout(bool failed, bool broken, TimePoint now);
   // Whether the request would be sent to another upstream at once if the current attempt ended now.
   bool CanBeSentElsewhere(AttemptFailure failure, TimePoint now);
   // Whether the current attempt should go on although its time is over: its upstream does work on
@@ -154,6 +158,10 @@
   Phase phase_ = Phase::kPlacing;
   std::shared_ptr<UpstreamConnection> connection_;
   UpstreamId upstream_id_;
+  std::string upstream_version_;
+  bool upstream_cold_ = false;    // when the request was sent
+  double rollout_draw_ = 1;       // decides which version gets the request
+  std::uint32_t deliveries_ = 0;  // of events from the upstream of the current attempt
   std::set<UpstreamId> tried_;
   int attempts_made_ = 0;  // attempts that may have reached an upstream
   int runs_ = 0;           // attempts that may have run
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -162,6 +162,7 @@
     }
     if (!events.empty()) {
       OnAnswerGoesOn();
+      ++deliveries_;
       StartRelaying(StreamFraming());
       events_relayed_ = true;
       if (attempt_deadline_ != TimePoint{}) {
@@ -303,6 +304,7 @@
     caller_->StartResponse(status, head_->reason, ResponseFields(*head_), framing, buffer_.size());
     RelayBody(buffer_);
   }
+  RecordForRollout(status >= 500, false, now);
   ReleaseUpstream(status >= 500);
   caller_->EndResponse();
   Finish("answered", status);
@@ -338,6 +340,9 @@
   }
   CheckEnd(failure);
   const bool ran = MayHaveRun(failure);
+  if (ran) {
+    RecordForRollout(failure != AttemptFailure::kBroken, failure == AttemptFailure::kBroken, now);
+  }
   may_have_run_ = may_have_run_ || ran;
   runs_ += ran ? 1 : 0;
   attempts_made_ -= failure == AttemptFailure::kNotConnected ? 1 : 0;
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -31,6 +31,8 @@
     for (const RouteTarget& target : route.targets) {
       int& most_urgent = most_urgent_.try_emplace(target.service, route.priority).first->second;
       most_urgent = std::min(most_urgent, route.priority);
+      Duration& timeout = longest_timeout_[target.service];
+      timeout = std::max(timeout, route.timeout);
     }
   }
   for (auto& [host, positions] : routes_of_host_) {
@@ -67,6 +69,11 @@
   return found == service_positions_.end() ? nullptr : &config_.services[found->second];
 }
 
+Duration RouteTable::LongestTimeout(const std::string& service) const {
+  const auto found = longest_timeout_.find(service);
+  return found == longest_timeout_.end() ? Duration::zero() : found->second;
+}
+
 int RouteTable::HighestPriority(const std::string& service) const {
   const auto found = most_urgent_.find(service);
   return found == most_urgent_.end() ? 0 : found->second;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -97,6 +97,9 @@
   // Returns a service, or null if it is not configured.
   const ServiceConfig* Service(const std::string& name) const;
 
+  // Returns the longest timeout of the routes to a service; zero for a service without routes.
+  Duration LongestTimeout(const std::string& service) const;
+
   // Returns the priority of the most urgent route to a service; 0 for a service without routes.
   int HighestPriority(const std::string& service) const;
 
@@ -106,6 +109,7 @@
   std::map<std::string, std::vector<std::size_t>, std::less<>> routes_of_host_;
   std::unordered_map<std::string, std::size_t> service_positions_;
   std::unordered_map<std::string, int> most_urgent_;  // by service
+  std::unordered_map<std::string, Duration> longest_timeout_;  // by service
 };
 
 // Picks a target by weight. `random` is any number; uniformly distributed numbers give the
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -99,6 +99,7 @@
   if (notice.age > timing_.max_age || EraOf(notice.version) < EraOf(version_)) {
     return false;
   }
+  noticed_version_ = std::max(noticed_version_, notice.version);
   choice_.OnNotice(source, now);
   if (!listed_) {
     return false;
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -85,6 +85,9 @@
 
   bool listed() const { return listed_; }
   std::uint64_t version() const { return version_; }
+
+  // True if another instance has told of rows that are newer than those of this instance.
+  bool IsBehind() const { return listed_ && version_ < noticed_version_; }
   bool StoreHealthy(TimePoint now) const { return choice_.StoreHealthy(now); }
 
  private:
@@ -120,6 +123,7 @@
   std::string last_good_source_;
   std::optional<std::string> next_source_;  // of the next call, if not chosen by `choice_`
   std::uint64_t version_ = 0;
+  std::uint64_t noticed_version_ = 0;  // newest version in a notice
   std::uint64_t call_ = 0;
   bool listed_ = false;
   bool relist_ = true;         // the next call reads the whole table
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -74,6 +74,10 @@
   return query.standing ? query.standing(upstream) : UpstreamTerms::Standing{};
 }
 
+bool IsEligible(const UpstreamState& upstream, const ChoiceQuery& query) {
+  return (!query.eligible || query.eligible(upstream)) && !StandingOf(upstream, query).leaving;
+}
+
 bool IsBelowSlotLimit(const UpstreamState& upstream, const ChoiceLimits& limits) {
   return TotalLoad(upstream) + 1 <= std::max(1.0, limits.slot_share * upstream.entry.slots);
 }
@@ -253,7 +257,7 @@
   std::vector<UpstreamState*> usable = upstreams.Usable(query.service, now);
   usable.erase(std::remove_if(usable.begin(), usable.end(),
                               [&](const UpstreamState* upstream) {
-                                return StandingOf(*upstream, query).leaving;
+                                return !IsEligible(*upstream, query);
                               }),
                usable.end());
   Choice choice;
@@ -333,7 +337,7 @@
   const auto usable = upstreams.Usable(query.service, now);
   return std::any_of(usable.begin(), usable.end(), [&](UpstreamState* upstream) {
     const UpstreamTerms::Standing standing = StandingOf(*upstream, query);
-    return !standing.leaving && !standing.resting && IsBelowSlotLimit(*upstream, limits) &&
+    return IsEligible(*upstream, query) && !standing.resting && IsBelowSlotLimit(*upstream, limits) &&
            WithinColdLimit(*upstream, query, now) && WithinNamedLimit(*upstream, query, now);
   });
 }
@@ -374,7 +378,7 @@
   for (const UpstreamState* upstream : upstreams.Usable(query.service, now)) {
     const UpstreamTerms::Standing standing = StandingOf(*upstream, query);
     const auto allowance = query.allowance ? query.allowance(*upstream) : std::nullopt;
-    if (standing.leaving || (allowance && allowance->requests == 0)) {
+    if (!IsEligible(*upstream, query) || (allowance && allowance->requests == 0)) {
       continue;
     }
     Duration wait{};
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -34,6 +34,8 @@
   std::function<double(const UpstreamState&)> cold_limit;
   // Requests that this instance may send to an upstream that has named a limit; empty for none.
   std::function<std::optional<UpstreamTerms::Allowance>(const UpstreamState&)> allowance;
+  // Whether an upstream may take the request at all; empty if all may.
+  std::function<bool(const UpstreamState&)> eligible;
   // What upstreams have asked of this instance; empty for nothing.
   std::function<UpstreamTerms::Standing(const UpstreamState&)> standing;
 };
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -18,6 +18,7 @@
   std::string service;
   std::string address;  // "ip:port"
   DataCentreId data_centre;
+  std::string version;  // of its software; may be empty
   int slots = 1;
   bool draining = false;
   Duration cold_remaining{};    // how long it stays cold, counted from the write of the entry
