--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -123,35 +123,49 @@
                 if url.path == "/api/rows-get":
                     with store.changed:
                         return self.reply(200, {"rows": store.listing(query["table_name"]), "has_more": False,
-                                                "ver": store.version, "now_ms": 1})
+                                                "ver": store.version, "now_ms": store.now_ms()})
                 after = int(query["since_rev"])
                 store.feed_calls[query["table_name"]] += 1
                 end = time.monotonic() + int(query["wait_ms"]) / 1000
                 with store.changed:
                     while not store.listing(query["table_name"], after) and time.monotonic() < end:
                         store.changed.wait(end - time.monotonic())
-                    body = {"rows": store.listing(query["table_name"], after), "ver": store.version, "now_ms": 1}
+                    body = {"rows": store.listing(query["table_name"], after), "ver": store.version, "now_ms": store.now_ms()}
                 if door.wait_if_silent():
                     return None
                 self.reply(503 if store.down else 200, body)
 
             def do_POST(self):
                 if door.wait_if_silent():
-                    return
+                    return None
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
                 if store.refuses(self):
-                    return
+                    return None
+                if not store.meets(body["expected_rev"]):
+                    return self.reply(412, {"rows": [], "ver": store.version, "now_ms": store.now_ms()})
                 for row in body["set_keys"]:
                     store.put(row["table_name"], row["key"], base64.b64decode(row["value"]))
                 for row in body["delete_keys"]:
                     store.delete(row["table_name"], row["key"])
                 if store.failure_mode == "lost":
                     self.close_connection = True
-                    return
-                self.reply(200, {"ver": store.version, "now_ms": 1})
+                    return None
+                return self.reply(200, {"ver": store.version, "now_ms": store.now_ms()})
 
         return Handler
 
+    @staticmethod
+    def now_ms():
+        return int(time.monotonic() * 1000)
+
+    def meets(self, expected):
+        """Returns whether all rows have the versions that a transaction expects."""
+        for row in expected:
+            known = self.rows.get((row["table_name"], row["key"]))
+            if row["ver"] != (0 if known is None or known.get("tombstone") else known["ver"]):
+                return False
+        return True
+
     def refuses(self, handler):
         """Applies the current failure mode. Returns True if it has sent the response."""
         if self.failure_mode == "slow":
