Arm the timer of a request again after an attempt has timed out

Cause: one timer serves the attempt and the request (RelayCall::OnTimer). After an attempt had timed out and the request had been sent again, OnTimer returned without arming the timer for the deadline, so a request whose second upstream was silent as well was never answered.

Change: OnTimer arms the timer in both cases.

--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -390,9 +390,9 @@
   if (phase_ != Phase::kPlacing && attempt_deadline_ != TimePoint{} && attempt_deadline_ <= now) {
     if (!KeepsSilentAttempt(now) && CanBeSentElsewhere(AttemptFailure::kTimeout, now)) {
       FailAttempt(AttemptFailure::kTimeout, "no answer within the patience of an attempt");
-      return;
+    } else {
+      attempt_deadline_ = now + kRetryCheck;
     }
-    attempt_deadline_ = now + kRetryCheck;
   }
   if (phase_ != Phase::kDone && timer_at_ == TimePoint{}) {
     ArmTimer(attempt_deadline_ != TimePoint{} ? attempt_deadline_ : deadline_);
