Limit requests for small plain services by a gate, and hold requests until the configuration is known

Cause: before many instances the slots of a plain service are fewer than the instances, and the loads that these hear of are ten calls old. Change: if a plain service has fewer slots than there are instances, upstreams are drawn by their average load, and stale loads don't count against slots. A gate passes a share of the requests that falls while more than 2.5 requests for each slot are at the upstreams, and rises again.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -53,7 +53,10 @@
   const GatewaySettings& settings() const { return settings_; }
 
   // Called by the adapter when the configuration and the upstreams have been read.
-  void SetReady() { ready_ = true; }
+  void SetReady() {
+    ready_ = true;
+    relay_.OnConfigured();
+  }
 
   // Sets the function that returns whether this instance can read the platform's store.
   void SetStoreCheck(std::function<bool()> store_check) { store_check_ = std::move(store_check); }
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -122,6 +122,8 @@
      "Time since the configuration in force was last confirmed as the newest."},
     {Gauge::kStoreEra, "chiverail_store_era", "",
      "Number that the platform's store raises each time it comes back from an older copy."},
+    {Gauge::kGateShare, "chiverail_gate_share", "service",
+     "Share of the requests for a plain service with few slots that passes its gate."},
     {Gauge::kRolloutShare, "chiverail_rollout_share", "service",
      "Share of a service's requests that goes to the version of its last roll-out."},
 };
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -70,6 +70,7 @@
   kUpstreamTerms,
   kStoreEra,
   kRolloutShare,
+  kGateShare,
 };
 
 // Distributions of times, in seconds.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -133,12 +133,14 @@
   for (auto& [id, upstream] : upstreams_.all()) {
     const auto found = loads.find(upstream.tag);
     upstream.peer_load = found == loads.end() ? 0 : static_cast<int>(found->second);
+    UpdateAverageLoad(upstream, now);
     tags.push_back(upstream.tag);
   }
   std::sort(tags.begin(), tags.end());
   if (tags != fleet_.upstreams()) {
     fleet_.SetUpstreams(std::move(tags));
   }
+  UpdateGates(now);
 }
 
 void Relay::Expire(TimePoint now) {
@@ -384,6 +386,10 @@
 ChoiceLimits Relay::LimitsFor(const ServiceConfig* service, double slot_share) const {
   ChoiceLimits limits;
   limits.slot_share = service == nullptr || !service->is_engine ? kPlainSlotShare : slot_share;
+  if (service != nullptr && !service->is_engine) {
+    const auto gate = gates_.find(service->name);
+    limits.stale_loads = gate != gates_.end() && gate->second.shared;
+  }
   return limits;
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -24,6 +24,7 @@
 #include "prompt_quarantine.h"
 #include "rollout/rollout_set.h"
 #include "route_table.h"
+#include "service_gate/service_gate.h"
 #include "sliding_window_retry_budget.h"
 #include "slot_queue.h"
 #include "slot_shares.h"
@@ -122,6 +123,20 @@
   // Assigns free slots to queued requests. Called when a slot may have become free.
   void ServeQueue(const std::string& service);
 
+  // Returns whether a request for a service may be placed now. Those for a plain service with fewer
+  // slots than instances are limited by its gate.
+  bool PassesGate(const std::string& service);
+
+  // Holds a request that arrives before the configuration is known, until OnConfigured or
+  // kMaxStartHold. Returns false if it can't be held.
+  bool HoldUntilConfigured(const std::shared_ptr<RelayCall>& call);
+
+  // Called once the configuration and the upstreams are known: the requests that are held go on.
+  void OnConfigured();
+
+  // Longest time for which a request is held until the configuration is known.
+  static constexpr Duration kMaxStartHold = seconds(1);
+
   // Limits for the choice of an upstream of a service. `slot_share` is the share of an engine's
   // slots that the request may fill.
   ChoiceLimits LimitsFor(const ServiceConfig* service, double slot_share) const;
@@ -262,6 +277,16 @@
     bool serving = false;  // prevents recursion of ServeQueue through a call that it serves
   };
 
+  // Admission to a plain service.
+  struct GateState {
+    ServiceGate gate;
+    bool shared = false;   // it has fewer slots than the fleet has instances
+    bool limited = false;  // as last logged
+  };
+
+  // Requests held at the start of the instance: a few seconds' worth of an instance's callers.
+  static constexpr std::size_t kMaxHeldAtStart = 256;
+
   // Requests cut by what may be the end of an upstream.
   struct SuspectedEnd {
     TimePoint at{};
@@ -269,6 +294,7 @@
     std::vector<SegmentHash> hashes;    // the most suspect segments of each request
   };
 
+  void UpdateGates(TimePoint now);
   void ForEachCall(const std::function<void(RelayCall&)>& act);
   void RefreshShares(TimePoint now);
   void OnEndChecked(const UpstreamId& id, ConnectResult result);
@@ -320,6 +346,9 @@
   std::unordered_map<const RelayCall*, std::weak_ptr<RelayCall>> calls_;
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
   std::map<std::string, ServiceQueue> service_queues_;
+  std::map<std::string, GateState> gates_;  // by service
+  std::vector<std::weak_ptr<RelayCall>> held_calls_;
+  bool configured_ = false;
   boost::asio::steady_timer queue_scan_timer_;
   bool queue_scan_scheduled_ = false;
   std::uint32_t last_ticket_ = 0;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -40,6 +40,9 @@
 constexpr Duration kMaxIdleAtMostOnce = milliseconds(800);
 constexpr Duration kMaxIdleIdempotent = seconds(10);
 
+// Longer times that callers state have no effect, and could overflow.
+constexpr std::int64_t kMaxStatedMs = 24 * 3600 * 1000;
+
 std::optional<std::int64_t> WholeNumber(std::string_view text) {
   std::int64_t value = 0;
   const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -61,7 +64,7 @@
 void RelayCall::Start() {
   const TimePoint now = BootTimeNow();
   id_ = std::string(request_.head.Field(relay_.names().request_id));
-  if (!Check(now)) {
+  if (HoldsUntilConfigured(now) || !Check(now)) {
     return;
   }
   ReadDeadline();
@@ -133,12 +136,18 @@
 
 void RelayCall::ReadDeadline() {
   deadline_ = request_.received + route_->timeout;
-  const auto deadline_ms = WholeNumber(request_.head.Field(relay_.names().deadline_ms));
-  if (deadline_ms && *deadline_ms >= 0) {
-    deadline_ = std::min<TimePoint>(deadline_, request_.received + milliseconds(*deadline_ms));
+  if (const auto left = StatedTimeLeft()) {
+    deadline_ = std::min<TimePoint>(deadline_, request_.received + *left);
   }
 }
 
+std::optional<Duration> RelayCall::StatedTimeLeft() const {
+  const auto deadline_ms = WholeNumber(request_.head.Field(relay_.names().deadline_ms));
+  return deadline_ms && *deadline_ms >= 0 && *deadline_ms <= kMaxStatedMs
+             ? std::make_optional<Duration>(milliseconds(*deadline_ms))
+             : std::nullopt;
+}
+
 bool RelayCall::IsRetryable() const {
   return chiverail::IsRetryable(route_->kind, route_->resumable);
 }
@@ -171,6 +180,12 @@
   if (!PassesStop(now) || !PassesQuarantine(now)) {
     return;
   }
+  if (attempts_made_ == 0 && !may_have_run_ && !std::exchange(passed_gate_, true) &&
+      !relay_.PassesGate(service_name_)) {
+    last_error_ = "service saturated";
+    RespondWithFailure(AttemptFailure::kNotConnected);
+    return;
+  }
   load_age_ = relay_.fleet().StateAge(now);
   if (load_age_) {
     relay_.metrics().Observe(Summary::kFleetStateAgeSeconds, *load_age_);
@@ -379,6 +394,11 @@
 void RelayCall::OnTimer() {
   const TimePoint now = BootTimeNow();
   timer_at_ = {};
+  if (held_) {
+    held_ = false;
+    Refuse(503, "no configuration yet", kRetryElsewhere);
+    return;
+  }
   if (deadline_ <= now) {
     if (phase_ == Phase::kPlacing) {
       RespondWithFailure(AttemptFailure::kTimeout);
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -32,6 +32,9 @@
   void OnSlotFree();
   void OnQueueTimeout();
 
+  // Called when the configuration is known, for which this request was held.
+  void OnConfigured();
+
   // Records how long this request has taken so far.
   void RecordTime(TimePoint now) const;
 
@@ -57,6 +60,10 @@
   bool Check(TimePoint now);
   bool CheckKey(TimePoint now);
   void ReadDeadline();
+  // Time for which the caller says that it waits, from the arrival of the request.
+  std::optional<Duration> StatedTimeLeft() const;
+  // Holds the request if it arrives before the configuration is known. Returns whether it does.
+  bool HoldsUntilConfigured(TimePoint now);
 
   void Place();
   // Query for the choice of this request's next upstream, and that choice.
@@ -189,6 +196,8 @@
   std::string last_error_;
   std::uint32_t ticket_ = 0;  // distinguishes requests with the same id in the queue
   bool queued_ = false;
+  bool passed_gate_ = false;
+  bool held_ = false;  // until the configuration is known
   TimePoint queued_since_{};  // when the request was first enqueued; zero if never
   bool no_upstream_ = false;  // the last placement found no upstream of the service
 
--- a/src/upstream_choice.cc
+++ b/src/upstream_choice.cc
@@ -28,6 +28,9 @@
 // instances may have reached either engine since the last digests.
 constexpr int kLoadUncertainty = 3;
 
+// Multiple of the average load of another upstream from which on that is preferred.
+constexpr double kClearlyMoreLoad = 1.5;
+
 // Number of engines over which requests for a prompt segment are spread when all its cache holders
 // are full.
 constexpr std::size_t kOverflowEngines = 3;
@@ -79,6 +82,9 @@
 }
 
 bool IsBelowSlotLimit(const UpstreamState& upstream, const ChoiceLimits& limits) {
+  if (limits.stale_loads) {
+    return upstream.own_load < upstream.entry.slots;
+  }
   return TotalLoad(upstream) + 1 <= std::max(1.0, limits.slot_share * upstream.entry.slots);
 }
 
@@ -132,6 +138,26 @@
   return LeastLoaded({candidates[first], candidates[second]}, query, now);
 }
 
+// Returns the first of two candidates drawn at random, or the second if its average load is clearly
+// less: an upstream that is slower than the others gets fewer requests, and short differences make
+// no difference.
+UpstreamState* LessLoadedOnAverage(const std::vector<UpstreamState*>& candidates,
+                                   const ChoiceQuery& query,
+                                   TimePoint now) {
+  if (candidates.size() < 2) {
+    return candidates.empty() ? nullptr : candidates.front();
+  }
+  const auto [first, second] = DrawTwo(candidates.size(), query.random);
+  const auto weight = [now](const UpstreamState& upstream) {
+    const double success_rate = std::max(0.05, 1 - FailureRate(upstream, now));
+    return (upstream.average_load + 1) / std::max(1, upstream.entry.slots) /
+           (success_rate * success_rate);
+  };
+  return weight(*candidates[first]) > kClearlyMoreLoad * weight(*candidates[second])
+             ? candidates[second]
+             : candidates[first];
+}
+
 // Returns the first of two engines drawn at random, or the second if it is clearly less loaded.
 UpstreamState* ClearlyLessLoadedOfTwo(const std::vector<UpstreamState*>& candidates,
                                       const ChoiceQuery& query) {
@@ -255,11 +281,10 @@
                       const ChoiceLimits& limits,
                       TimePoint now) {
   std::vector<UpstreamState*> usable = upstreams.Usable(query.service, now);
-  usable.erase(std::remove_if(usable.begin(), usable.end(),
-                              [&](const UpstreamState* upstream) {
-                                return !IsEligible(*upstream, query);
-                              }),
-               usable.end());
+  usable.erase(
+      std::remove_if(usable.begin(), usable.end(),
+                     [&](const UpstreamState* upstream) { return !IsEligible(*upstream, query); }),
+      usable.end());
   Choice choice;
   choice.usable = usable.size();
   std::vector<UpstreamState*> candidates;
@@ -323,8 +348,9 @@
   }
   if (choice.upstream == nullptr) {
     choice.cause = PlacementCause::kLoad;
-    choice.upstream =
-        LessLoadedOfTwo(groups.unlimited.empty() ? groups.limited : groups.unlimited, query, now);
+    const auto& group = groups.unlimited.empty() ? groups.limited : groups.unlimited;
+    choice.upstream = limits.stale_loads ? LessLoadedOnAverage(group, query, now)
+                                         : LessLoadedOfTwo(group, query, now);
   }
   choice.outcome = ChoiceOutcome::kChosen;
   return choice;
@@ -337,8 +363,9 @@
   const auto usable = upstreams.Usable(query.service, now);
   return std::any_of(usable.begin(), usable.end(), [&](UpstreamState* upstream) {
     const UpstreamTerms::Standing standing = StandingOf(*upstream, query);
-    return IsEligible(*upstream, query) && !standing.resting && IsBelowSlotLimit(*upstream, limits) &&
-           WithinColdLimit(*upstream, query, now) && WithinNamedLimit(*upstream, query, now);
+    return IsEligible(*upstream, query) && !standing.resting &&
+           IsBelowSlotLimit(*upstream, limits) && WithinColdLimit(*upstream, query, now) &&
+           WithinNamedLimit(*upstream, query, now);
   });
 }
 
--- a/src/upstream_choice.h
+++ b/src/upstream_choice.h
@@ -52,6 +52,9 @@
   // for, so the instances must not all choose the same engine. The cost of spreading is that
   // further engines process the same segments.
   double spread_mean = 12;
+  // The loads at several upstreams are older than a call lasts: only this instance's own part of
+  // them counts against the slots, and their averages in the comparison of two upstreams.
+  bool stale_loads = false;
   double slot_share = 0.85;  // share of an upstream's slots up to which requests may fill it
 };
 
--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -17,6 +17,9 @@
 // Weight of one response in the failure rate, which thus covers about the last ten responses.
 constexpr double kFailureWeight = 0.1;
 
+// Time over which the load of an upstream is averaged.
+constexpr Duration kAverageLoadTime = seconds(1);
+
 // Half-life of the failure rate in the absence of responses.
 constexpr Duration kFailureHalfLife = seconds(4);
 
@@ -31,6 +34,18 @@
                1 + static_cast<std::uint32_t>(entry.started_ms ^ (entry.started_ms >> 32)));
 }
 
+void UpdateAverageLoad(UpstreamState& upstream, TimePoint now) {
+  const double load = upstream.own_load + upstream.peer_load;
+  if (upstream.average_load_at == TimePoint{}) {
+    upstream.average_load = load;
+  } else {
+    const double passed = std::chrono::duration<double>(now - upstream.average_load_at) /
+                          std::chrono::duration<double>(kAverageLoadTime);
+    upstream.average_load += (1 - std::exp(-passed)) * (load - upstream.average_load);
+  }
+  upstream.average_load_at = now;
+}
+
 double FailureRate(const UpstreamState& upstream, TimePoint now) {
   const double half_lives = std::chrono::duration<double>(now - upstream.failure_rate_at) /
                             std::chrono::duration<double>(kFailureHalfLife);
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -38,6 +38,8 @@
   bool entry_lapsed = false;  // entry missing after an outage of the platform's list
   int own_load = 0;           // requests in progress from this instance
   int peer_load = 0;          // requests in progress from the other instances, as last reported
+  double average_load = 0;    // moving average of both
+  TimePoint average_load_at{};
   double failure_rate = 0;    // moving average of the share of failed requests
   TimePoint failure_rate_at{};
   // When the first request was sent since the upstream last sent any bytes; zero if it has no
@@ -180,6 +182,9 @@
 // An unresponsive upstream gets another request this long after the first unanswered one.
 inline constexpr Duration kUnresponsiveRetryAfter = seconds(3);
 
+// Takes up a change of the requests in progress in their moving average.
+void UpdateAverageLoad(UpstreamState& upstream, TimePoint now);
+
 // Returns the current failure rate. It decays in the absence of responses, so that a recovered
 // upstream is tried again.
 double FailureRate(const UpstreamState& upstream, TimePoint now);
