Keep what is held for callers within the memory and descriptors of the machine

Cause: nothing bounded what all callers together hold, nor the trailers and chunk extensions of a single one. Callers that stop just short of the end of legal bodies, or send trailers without end, made a process grow until its machine had no memory left.

Change: one account of bytes held for callers at all listeners, a quarter of the machine's memory; beyond it those that hold most for longest without progress are refused as not run. Unparsed bytes are bounded, trailers dropped. Connections are bounded by the descriptors, idle ones are closed for new ones.

The daemon's API has no such limits yet.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -15,8 +15,28 @@
 
 namespace {
 
-// Maximum number of bytes buffered for pipelined requests while one is being answered.
-constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+// Bytes buffered for pipelined requests while one is being answered, from which on no more are
+// read.
+constexpr std::size_t kMaxPipelinedBytes = 16 * 1024;
+
+// Received bytes beyond the limit for heads that may wait for the rest of an element: one read, in
+// which the end of a head may be followed by anything.
+constexpr std::size_t kMaxUnparsedSlack = 16 * 1024;
+
+// A body in chunks may take this multiple of its size, and so much more. Chunks of one byte take
+// six times their size.
+constexpr std::size_t kMaxChunkOverhead = 16;
+constexpr std::size_t kChunkOverheadSlack = 64 * 1024;
+
+// A caller that has sent this much more has made progress.
+constexpr std::size_t kProgressBytes = 16 * 1024;
+
+// Memory of a connection without a request, and of a header field besides its text.
+constexpr std::size_t kConnectionBytes = 2048;
+constexpr std::size_t kFieldBytes = sizeof(HttpHeader) + 16;
+
+// A request that is passed on is held twice: as received, and as sent to an upstream.
+constexpr std::size_t kCopiesOfRequest = 2;
 
 // Timeout for a body after its head: callers with slow links must not hold memory indefinitely.
 constexpr Duration kBodyTimeout = seconds(20);
@@ -25,10 +45,59 @@
 // next request at once is answered.
 constexpr Duration kMinIdleTime = milliseconds(100);
 
+// Frees the memory of a text, which an assignment of an empty one keeps.
+void Release(std::string& text) {
+  std::string().swap(text);
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(HttpListener& listener, tcp::socket socket)
-    : listener_(listener), io_(std::move(socket)), timer_(listener.io()) {}
+    : listener_(listener),
+      account_(listener.account()),
+      open_count_(listener.open_count()),
+      io_(std::move(socket)),
+      timer_(listener.io()) {
+  ++*open_count_;
+}
+
+CallerConnection::~CallerConnection() {
+  --*open_count_;
+  account_->Remove(this);
+}
+
+std::size_t CallerConnection::HeldNow() const {
+  std::size_t bytes =
+      kConnectionBytes + read_buffer_.capacity() + body_.capacity() + request_cost_ + io_.unsent();
+  if (parser_ && parser_->head_complete()) {
+    bytes += parser_->head().fields.size() * kFieldBytes;
+  }
+  return bytes;
+}
+
+void CallerConnection::UpdateHeld(bool progress) {
+  HolderState state = HolderState::kServing;
+  if (!busy_) {
+    state = HolderState::kReceiving;
+  } else if (response_started_ && io_.unsent() > 0) {
+    state = HolderState::kStalled;
+  }
+  account_->Update(shared_from_this(), HeldNow(), state, progress, BootTimeNow());
+}
+
+void CallerConnection::CloseForMemory() {
+  if (!io_.open() || io_.lingering()) {
+    return;
+  }
+  if (IsReceiving()) {
+    Refuse(503);
+  } else {
+    io_.Reset();
+    HandleDisconnect();
+    Release(read_buffer_);
+  }
+  account_->Remove(this);
+}
 
 void CallerConnection::Start() {
   SetPeerTimeout(io_.socket(), listener_.limits().idle_timeout);
@@ -52,10 +121,33 @@
   }
   read_buffer_.append(bytes);
   if (!busy_) {
+    received_ += bytes.size();
     Parse();
   } else if (read_buffer_.size() > kMaxPipelinedBytes) {
     io_.PauseReading();
   }
+  if (io_.open() && !io_.lingering()) {
+    const bool progress = progress_mark_ + kProgressBytes <= received_;
+    progress_mark_ = progress ? received_ : progress_mark_;
+    UpdateHeld(progress);
+  }
+}
+
+// What the parser has not taken is part of a head, of the line before a chunk or of the trailers.
+// The parser does not limit the last two.
+bool CallerConnection::IsMalformed() const {
+  if (parser_->failed()) {
+    return true;
+  }
+  if (parser_->complete()) {
+    return false;
+  }
+  if (read_buffer_.size() > listener_.limits().max_header_bytes + kMaxUnparsedSlack) {
+    return true;
+  }
+  const bool chunked = parser_->head_complete() && parser_->head().framing == BodyFraming::kChunked;
+  return chunked && received_ > listener_.limits().max_header_bytes + kChunkOverheadSlack +
+                                    kMaxChunkOverhead * (body_.size() + 1);
 }
 
 void CallerConnection::Parse() {
@@ -66,17 +158,22 @@
   if (!parser_) {
     parser_.emplace(MessageKind::kRequest, limits.max_header_bytes, limits.max_body_bytes);
     first_byte_at_ = BootTimeNow();
+    received_ = read_buffer_.size();
+    progress_mark_ = 0;
     StartTimeout(TimeoutPhase::kReadingHead);
   }
   read_buffer_.erase(0, parser_->Put(read_buffer_));
   if (drops_body_) {
     parser_->TakeBody();
-    if (parser_->failed() || parser_->complete()) {
+    if (IsMalformed() || parser_->complete()) {
       CloseWhenSent();
     }
     return;
   }
-  if (parser_->failed()) {
+  if (!parser_->complete() && parser_->head_complete()) {
+    body_.append(parser_->TakeBody());
+  }
+  if (IsMalformed()) {
     RefuseMalformed();
     return;
   }
@@ -124,7 +221,7 @@
   keep_alive_ = false;
   drops_body_ = body_comes;
   if (refuse(shared_from_this(), parser_->head(), first_byte_at_)) {
-    body_ = {};
+    Release(body_);
     return true;
   }
   drops_body_ = false;
@@ -134,12 +231,19 @@
 
 void CallerConnection::DispatchRequest() {
   CallerRequest request{parser_->head(), std::move(body_), first_byte_at_};
-  body_.clear();
+  Release(body_);
   parser_.reset();
+  BeginRequest(request.head);
+  UpdateHeld(true);  // the body no longer counts as one that arrives
+  const std::size_t cost = kCopiesOfRequest * request.body.size();
+  if (!account_->MakeRoomFor(cost, this, BootTimeNow())) {
+    Refuse(503);
+    return;
+  }
+  request_cost_ = cost + request.head.fields.size() * kFieldBytes;
   if (read_buffer_.empty()) {
     read_buffer_.shrink_to_fit();
   }
-  BeginRequest(request.head);
   StartTimeout(TimeoutPhase::kNone);
   try {
     listener_.handler_(shared_from_this(), std::move(request));
@@ -159,15 +263,26 @@
 
 void CallerConnection::RefuseMalformed() {
   int status = 400;
-  if (parser_->head_too_large()) {
+  if (parser_->head_too_large() || !parser_->failed()) {
     status = 431;
   } else if (parser_->body_too_large()) {
     status = 413;
   }
+  Refuse(status);
+}
+
+// Refuses a request that has not been passed on, and closes the connection.
+void CallerConnection::Refuse(int status) {
   busy_ = true;
   keep_alive_ = false;
-  read_buffer_.clear();
-  Respond(status, {}, {}, {});
+  Release(read_buffer_);
+  Release(body_);
+  StartTimeout(TimeoutPhase::kNone);
+  std::vector<HttpHeader> fields;
+  if (status == 503) {
+    fields.emplace_back("Retry-After", "0.1");
+  }
+  Respond(status, {}, fields, {});
 }
 
 void CallerConnection::NextRequest() {
@@ -186,7 +301,7 @@
 void CallerConnection::CloseWhenSent() {
   ended_ = true;
   parser_.reset();
-  read_buffer_ = {};
+  Release(read_buffer_);
   StartTimeout(TimeoutPhase::kIdle);
   io_.ResumeReading();
   io_.CloseWhenSent();
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "caller_limits/caller_account.h"
 #include "http_message.h"
 #include "socket_io.h"
 
@@ -31,6 +32,9 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(HttpListener& listener, boost::asio::ip::tcp::socket socket);
+  ~CallerConnection();
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
 
   // Starts reading the first request.
   void Start();
@@ -95,6 +99,27 @@
   // True until the connection has closed or is idle for long enough to be closed.
   bool in_use();
 
+  // True while a request arrives that has not been passed on.
+  bool IsReceiving() const { return parser_.has_value() && !busy_ && !drops_body_; }
+
+  // True if no request arrives or is answered, and nothing waits to be sent.
+  bool IsIdle() const { return io_.open() && !busy_ && !parser_ && io_.unsent() == 0; }
+
+  // True if a request is answered whose caller sends more than it may, or does not read its answer.
+  bool IsHeldUp() const {
+    return busy_ && (io_.reading_paused() || (response_started_ && io_.unsent() > 0));
+  }
+
+  // When a request was last received or answered on this connection.
+  TimePoint idle_since() const { return idle_since_; }
+
+  // Tells the account what this connection holds. `progress` as in HeldBytes::Set.
+  void UpdateHeld(bool progress);
+
+  // Closes the connection because the process holds too much: a request that arrives is refused as
+  // not run, an answer that its caller does not read is cut.
+  void CloseForMemory();
+
   // Closes the connection unless it has an unfinished request or was in use just now: the caller
   // may be sending its next request.
   void CloseIfIdle();
@@ -108,7 +133,10 @@
   void BeginRequest(const MessageHead& head);
   bool OfferEarlyRefusal(bool body_comes);
   void DispatchRequest();
+  void Refuse(int status);
   void RefuseMalformed();
+  bool IsMalformed() const;
+  std::size_t HeldNow() const;
   void NextRequest();
   void CloseWhenSent();
   bool LooksComplete() const;
@@ -118,6 +146,8 @@
   void ArmTimer(Duration time);
 
   HttpListener& listener_;
+  std::shared_ptr<CallerAccount> account_;
+  std::shared_ptr<std::size_t> open_count_;  // connections of the listener
   SocketIo io_;
   boost::asio::steady_timer timer_;
   std::optional<HttpMessageParser> parser_;
@@ -137,6 +167,9 @@
   bool head_request_ = false;
   bool http_1_0_ = false;
   bool drops_body_ = false;        // the request was refused while its body was arriving
+  std::size_t request_cost_ = 0;   // bytes held for the request that is being answered
+  std::size_t received_ = 0;       // bytes of the request that arrives
+  std::size_t progress_mark_ = 0;  // of these, at the last progress
   bool ended_ = false;             // no further request is read
   std::size_t unsent_before_ = 0;  // when the timer was last started
   std::function<void()> on_disconnect_;
--- a/src/caller_response.cc
+++ b/src/caller_response.cc
@@ -92,11 +92,14 @@
   if (framing_ != BodyFraming::kChunked) {
     length_left_ -= std::min<std::uint64_t>(length_left_, bytes.size());
     io_.Send(bytes);
-    return;
+  } else {
+    std::string chunk = Hex(bytes.size());
+    chunk.append("\r\n").append(bytes).append("\r\n");
+    io_.Send(chunk);
+  }
+  if (io_.unsent() > 0) {
+    UpdateHeld(false);
   }
-  std::string chunk = Hex(bytes.size());
-  chunk.append("\r\n").append(bytes).append("\r\n");
-  io_.Send(chunk);
 }
 
 void CallerConnection::EndResponse() {
@@ -105,6 +108,9 @@
   }
   on_disconnect_ = nullptr;
   busy_ = false;
+  request_cost_ = 0;
+  received_ = read_buffer_.size();
+  progress_mark_ = 0;
   framing_ = BodyFraming::kLength;
   if (closing_ && drops_body_) {
     return;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -94,6 +94,7 @@
              RelayLimitsOf(settings_),
              log_,
              metrics_),
+      caller_account_(std::make_shared<CallerAccount>(io_, &metrics_)),
       fleet_timer_(io_),
       leaving_timer_(io_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP) {}
@@ -158,6 +159,17 @@
         io_, settings_.metrics_address,
         [this](const Caller& caller, const CallerRequest&) { RespondMetrics(caller); });
   }
+  caller_account_->SetLimit(settings_.MaxHeldBytes());
+  caller_listener_->SetMaxConnections(settings_.MaxCallerConnections());
+  for (HttpListener* listener : {caller_listener_.get(), ready_listener_.get(),
+                                 directory_listener_.get(), metrics_listener_.get()}) {
+    if (listener != nullptr) {
+      listener->SetAccount(caller_account_);
+    }
+    if (listener != nullptr && listener != caller_listener_.get()) {
+      listener->SetMaxConnections(settings_.MaxOtherConnections());
+    }
+  }
   peers_ = std::make_unique<PeerDatagrams>(io_, settings_.peer_address,
                                            [this](std::string_view bytes, const std::string& from) {
                                              Guard("datagram", [&] { OnDatagram(bytes, from); });
@@ -268,6 +280,7 @@
     if (next_expiry_ <= now) {
       next_expiry_ = now + kExpiryInterval;
       relay_.Expire(now);
+      metrics_.Set(Gauge::kHeldBytes, static_cast<double>(caller_account_->total()));
       LogFleetChanges();
     }
     SendToPeers(fleet.Tick(OwnInfo(), now));
@@ -321,6 +334,7 @@
       relay_.fleet().AddSeed(address);
     }
     relay_.SetLimits(RelayLimitsOf(settings));
+    caller_account_->SetLimit(settings.MaxHeldBytes());
     log_.Write(Decision::kReload, {{"outcome", "applied"}});
   } catch (const std::exception& error) {
     log_.Write(Decision::kReload, {{"outcome", "kept the former settings"}, {"why", error.what()}});
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -51,6 +51,7 @@
   DecisionLog& log() { return log_; }
   Metrics& metrics() { return metrics_; }
   const GatewaySettings& settings() const { return settings_; }
+  const std::shared_ptr<CallerAccount>& caller_account() const { return caller_account_; }
 
   // Called by the adapter when the configuration and the upstreams have been read.
   void SetReady() {
@@ -101,6 +102,7 @@
   Metrics metrics_;
   DecisionLog log_;
   Relay relay_;
+  std::shared_ptr<CallerAccount> caller_account_;
   std::unique_ptr<HttpListener> caller_listener_;
   std::unique_ptr<HttpListener> ready_listener_;
   std::unique_ptr<HttpListener> directory_listener_;
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -129,6 +129,15 @@
        "run. 0 for no limit."},
       {"rollout_share", NumberRow{&S::rollout_share, 0, 1, 0.1},
        "Share of a service's requests that a new version may get until it was found to be sound."},
+      {"memory_mb", NumberRow{&S::memory_mb, 16, 1e6, 256},
+       "Memory of this instance in MB. A quarter may be held for callers: beyond it the requests "
+       "that arrive and hold most for longest without progress are refused as not run (503), and "
+       "answers that are not read are cut. A single request within the limits of the configuration "
+       "never meets it."},
+      {"max_fds", CountRow{&S::max_fds, 64, 10'000'000, 65'536},
+       "Descriptors that this instance may have open. Callers may have two fifths of them, the "
+       "directory, readiness, metrics and mirrored rows a sixteenth each; idle connections are "
+       "closed for new ones beyond that."},
       {"link_mbps", NumberRow{&S::link_mbps, 0.001, 1e6, 1000},
        "Bandwidth of this instance in Mbit/s; instances with more read the store for the others."},
       {"cpu_cores", NumberRow{&S::cpu_cores, 0.001, 1024, 1},
@@ -257,6 +266,21 @@
          kStopMargin;
 }
 
+std::size_t GatewaySettings::MaxHeldBytes() const {
+  constexpr double kHeldShare = 0.25;
+  return static_cast<std::size_t>(memory_mb * kHeldShare * (1 << 20));
+}
+
+std::size_t GatewaySettings::MaxCallerConnections() const {
+  // Each request that runs takes a connection to an upstream besides.
+  constexpr double kCallerShare = 0.4;
+  return static_cast<std::size_t>(static_cast<double>(max_fds) * kCallerShare);
+}
+
+std::size_t GatewaySettings::MaxOtherConnections() const {
+  return static_cast<std::size_t>(max_fds / 16);
+}
+
 std::vector<std::string> GatewaySettings::SeedAddresses() const {
   const std::string port = peer_address.substr(peer_address.find(':'));
   std::vector<std::string> addresses;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -44,6 +44,8 @@
   Duration config_apply{};
   double rollout_share = 0;
   double stop_grace_s = 0;
+  double memory_mb = 0;
+  std::int64_t max_fds = 0;
   double link_mbps = 0;
   double cpu_cores = 0;
   std::int64_t log_lines_per_second = 0;
@@ -61,6 +63,13 @@
   // Time after which a stopping instance aborts the requests that are still running.
   Duration DrainDeadline() const;
 
+  // Bytes that may be held for callers.
+  std::size_t MaxHeldBytes() const;
+
+  // Connections of callers that may be open, and at each of the other listeners.
+  std::size_t MaxCallerConnections() const;
+  std::size_t MaxOtherConnections() const;
+
   // Peer addresses of the seeds: their hosts with this instance's own peer port, which is the same
   // on all instances.
   std::vector<std::string> SeedAddresses() const;
--- a/src/http_listener.cc
+++ b/src/http_listener.cc
@@ -1,6 +1,7 @@
 #include "http_listener.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -21,7 +22,11 @@
 }  // namespace
 
 HttpListener::HttpListener(asio::io_context& io, const std::string& address, Handler handler)
-    : io_(io), acceptor_(io), accept_retry_timer_(io), handler_(std::move(handler)) {
+    : io_(io),
+      acceptor_(io),
+      accept_retry_timer_(io),
+      handler_(std::move(handler)),
+      account_(std::make_shared<CallerAccount>(io, nullptr)) {
   const auto [host, port] = SplitAddress(address);
   const tcp::endpoint endpoint(asio::ip::make_address(host), port);
   acceptor_.open(endpoint.protocol());
@@ -31,6 +36,49 @@
   Accept();
 }
 
+void HttpListener::AcceptAfter(Duration time) {
+  accept_retry_timer_.expires_after(time);
+  accept_retry_timer_.async_wait([this](const auto& cancelled) {
+    if (!cancelled) {
+      Accept();
+    }
+  });
+}
+
+// The oldest idle connection is closed first, then the one whose request has been arriving for
+// longest, then one that is held up by its caller.
+bool HttpListener::MakeRoom(const CallerConnection* accepted) {
+  if (*open_count_ < max_connections_) {
+    return true;
+  }
+  std::array<std::shared_ptr<CallerConnection>, 3> oldest;
+  for (auto entry = connections_.begin(); entry != connections_.end();) {
+    const auto connection = entry->second.lock();
+    if (!connection) {
+      entry = connections_.erase(entry);
+      continue;
+    }
+    ++entry;
+    if (connection.get() == accepted) {
+      continue;
+    }
+    const std::array<bool, 3> closable{connection->IsIdle(), connection->IsReceiving(),
+                                       connection->IsHeldUp()};
+    for (std::size_t i = 0; i < closable.size(); ++i) {
+      if (closable[i] && (!oldest[i] || connection->idle_since() < oldest[i]->idle_since())) {
+        oldest[i] = connection;
+      }
+    }
+  }
+  for (const auto& connection : oldest) {
+    if (connection) {
+      connection->CloseForMemory();
+      return true;
+    }
+  }
+  return false;
+}
+
 void HttpListener::Accept() {
   acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
@@ -38,15 +86,14 @@
     }
     if (error) {
       ComponentLogger("http")->warn("Cannot accept a connection: {}.", error.message());
-      accept_retry_timer_.expires_after(kAcceptRetry);
-      accept_retry_timer_.async_wait([this](const auto& cancelled) {
-        if (!cancelled) {
-          Accept();
-        }
-      });
+      AcceptAfter(kAcceptRetry);
+      return;
+    }
+    const auto accepted = AddConnection(std::move(socket));
+    if (!MakeRoom(accepted.get())) {
+      AcceptAfter(kAcceptRetry);
       return;
     }
-    AddConnection(std::move(socket));
     if (connections_.size() > 64 && connections_.size() % 32 == 0) {
       for (auto entry = connections_.begin(); entry != connections_.end();) {
         entry = entry->second.expired() ? connections_.erase(entry) : ++entry;
@@ -56,10 +103,11 @@
   });
 }
 
-void HttpListener::AddConnection(tcp::socket socket) {
+std::shared_ptr<CallerConnection> HttpListener::AddConnection(tcp::socket socket) {
   const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
   connections_[connection.get()] = connection;
   connection->Start();
+  return connection;
 }
 
 // Closing the acceptor resets the connections in its queue, with the requests on them.
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -2,6 +2,7 @@
 #define CHIVERAIL_HTTP_LISTENER_H_
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "caller_connection.h"
+#include "caller_limits/caller_account.h"
 #include "route_table.h"
 
 namespace chiverail {
@@ -33,6 +35,14 @@
   // Sets the limits for requests that start after the call.
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
+  // Sets the account of what connections hold, for connections that are accepted after the call. A
+  // listener has one of its own otherwise, without a limit.
+  void SetAccount(std::shared_ptr<CallerAccount> account) { account_ = std::move(account); }
+
+  // Sets the number of connections that may be open. Beyond it, idle ones and those whose requests
+  // make no progress are closed for new ones.
+  void SetMaxConnections(std::size_t max_connections) { max_connections_ = max_connections; }
+
   // Sets the function that is offered each request whose head is complete and whose body is not.
   void SetEarlyRefusal(EarlyRefusal refusal) { early_refusal_ = std::move(refusal); }
 
@@ -64,6 +74,8 @@
   // True if bytes of responses wait to be taken by the sockets.
   bool HasUnsent() const;
 
+  const std::shared_ptr<CallerAccount>& account() const { return account_; }
+  const std::shared_ptr<std::size_t>& open_count() const { return open_count_; }
   const EarlyRefusal& early_refusal() const { return early_refusal_; }
   const CallerLimits& limits() const { return limits_; }
   bool closing() const { return closing_; }
@@ -73,7 +85,11 @@
   friend class CallerConnection;
   void Accept();
   void AcceptQueued();
-  void AddConnection(boost::asio::ip::tcp::socket socket);
+  // Closes a connection other than `accepted` if too many are open. Returns false if all are in
+  // use.
+  bool MakeRoom(const CallerConnection* accepted);
+  void AcceptAfter(Duration time);
+  std::shared_ptr<CallerConnection> AddConnection(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -81,6 +97,9 @@
   Handler handler_;
   EarlyRefusal early_refusal_;
   CallerLimits limits_;
+  std::shared_ptr<CallerAccount> account_;
+  std::shared_ptr<std::size_t> open_count_ = std::make_shared<std::size_t>(0);
+  std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
   bool closing_ = false;
   std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> connections_;
 };
--- a/src/http_message.cc
+++ b/src/http_message.cc
@@ -45,7 +45,11 @@
     head.reason = Text(reason);
     head.http_1_0 = version < 11;
   }
+  // Trailers are dropped: a field after the body must not count like one before it.
   void on_field_impl(http::field field, View name, View value, Error& error) override {
+    if (header_done_) {
+      return;
+    }
     if (!is_request && field == http::field::transfer_encoding &&
         !IsSupportedCoding({value.data(), value.size()})) {
       error = http::error::bad_transfer_encoding;
@@ -53,7 +57,7 @@
     }
     head.fields.emplace_back(Text(name), Text(value));
   }
-  void on_header_impl(Error&) override {}
+  void on_header_impl(Error&) override { header_done_ = true; }
   void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override {}
   std::size_t on_body_impl(View bytes, Error&) override {
     body.append(bytes.data(), bytes.size());
@@ -65,6 +69,8 @@
     return bytes.size();
   }
   void on_finish_impl(Error&) override {}
+
+  bool header_done_ = false;
 };
 
 template <typename Parser>
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -83,6 +83,8 @@
      "Answers of upstreams with a request limit or a rest that can't be read."},
     {Counter::kStopRequests, "chiverail_stop_requests_total", "outcome",
      "Requests of the gateway that ended after SIGTERM."},
+    {Counter::kCallersClosed, "chiverail_callers_closed_total", "why",
+     "Connections of callers that were closed to stay within the limits of the machine."},
     {Counter::kRolloutAnswers, "chiverail_rollout_answers_total", "side",
      "Answers during a roll-out, by version (old, new) and whether they were sound."},
 };
@@ -122,6 +124,8 @@
      "Time since the configuration in force was last confirmed as the newest."},
     {Gauge::kStoreEra, "chiverail_store_era", "",
      "Number that the platform's store raises each time it comes back from an older copy."},
+    {Gauge::kHeldBytes, "chiverail_held_bytes", "",
+     "Bytes held for callers: requests that arrive or are served, and answers not yet taken."},
     {Gauge::kGateShare, "chiverail_gate_share", "service",
      "Share of the requests for a plain service with few slots that passes its gate."},
     {Gauge::kRolloutShare, "chiverail_rollout_share", "service",
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -46,6 +46,7 @@
   kMalformedTerms,
   kStopRequests,
   kRolloutAnswers,
+  kCallersClosed,
 };
 
 // Gauges; each shows the last value set.
@@ -71,6 +72,7 @@
   kStoreEra,
   kRolloutShare,
   kGateShare,
+  kHeldBytes,
 };
 
 // Distributions of times, in seconds.
--- a/tests/http_message_test.cc
+++ b/tests/http_message_test.cc
@@ -112,4 +112,17 @@
   CHECK_FALSE(IsHopByHopField("X-Hop", "close"));
 }
 
+// Guards against fields behind a body that count like those before it.
+TEST_CASE("Trailers are dropped") {
+  HttpMessageParser parser(MessageKind::kRequest, 1024, 1024);
+  const std::string message =
+      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\nx\r\n0\r\nOther: late\r\n\r\n";
+  CHECK(parser.Put(message) == message.size());
+  CHECK(parser.complete());
+  CHECK(parser.TakeBody() == "x");
+  CHECK(parser.head().fields.size() == 2);
+  CHECK(parser.head().Field("Other").empty());
+}
+
 }  // namespace chiverail
