Send slow requests that may be repeated to a second upstream

Cause: a few slow answers make the worst figures of plain services, and a request waited for its first attempt until half of its time was over.

Change: HedgePolicy (src/hedging/) makes a second attempt due at the quantile of the service's measured times that the operators' limit allows (hedge_share, off by default). Both attempts run until one answers; each second one counts in the retry budget; none is made while slots are short. Work that runs at most once and streams are left out.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -42,6 +42,7 @@
   limits.cold_slack = settings.cold_slack;
   limits.max_rest = settings.max_upstream_rest;
   limits.rollout_share = settings.rollout_share;
+  limits.hedge_share = settings.hedge_share;
   return limits;
 }
 
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -129,6 +129,11 @@
        "run. 0 for no limit."},
       {"rollout_share", NumberRow{&S::rollout_share, 0, 1, 0.1},
        "Share of a service's requests that a new version may get until it was found to be sound."},
+      {"hedge_share", NumberRow{&S::hedge_share, 0, 1, 0},
+       "Second attempts for each request of a plain service, made for those that may be repeated "
+       "and whose first attempt takes longer than all but this share of the answers did; they "
+       "count in the retry "
+       "budget. 0 for none."},
       {"memory_mb", NumberRow{&S::memory_mb, 16, 1e6, 256},
        "Memory of this instance in MB. A quarter may be held for callers: beyond it the requests "
        "that arrive and hold most for longest without progress are refused as not run (503), and "
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -43,6 +43,7 @@
   Duration max_upstream_rest{};
   Duration config_apply{};
   double rollout_share = 0;
+  double hedge_share = 0;
   double stop_grace_s = 0;
   double memory_mb = 0;
   std::int64_t max_fds = 0;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -85,6 +85,8 @@
      "Requests of the gateway that ended after SIGTERM."},
     {Counter::kCallersClosed, "chiverail_callers_closed_total", "why",
      "Connections of callers that were closed to stay within the limits of the machine."},
+    {Counter::kHedges, "chiverail_hedges_total", "outcome",
+     "Second attempts for requests whose first attempt was slow, by what became of them."},
     {Counter::kRolloutAnswers, "chiverail_rollout_answers_total", "side",
      "Answers during a roll-out, by version (old, new) and whether they were sound."},
 };
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -47,6 +47,7 @@
   kStopRequests,
   kRolloutAnswers,
   kCallersClosed,
+  kHedges,
 };
 
 // Gauges; each shows the last value set.
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -407,6 +407,9 @@
 void Relay::SetLimits(const RelayLimits& limits) {
   limits_ = limits;
   rollouts_.SetMaxShare(limits.rollout_share);
+  for (auto& [service, hedges] : hedges_) {
+    hedges.SetShare(limits.hedge_share);
+  }
   cold_limits_.clear();
   for (auto& [service, budget] : budgets_) {
     budget.SetLimits(limits.retry_ratio * kBudgetShare, limits.retry_slack * kBudgetShare);
@@ -415,6 +418,7 @@
 
 void Relay::CountRequest(const std::string& service, TimePoint now) {
   BudgetFor(service).OnRequest(now);
+  Hedges(service).OnRequest(now);
 }
 
 bool Relay::MayRetry(const std::string& service, TimePoint now) {
--- a/src/relay.h
+++ b/src/relay.h
@@ -20,6 +20,7 @@
 #include "decision_log.h"
 #include "fleet_exchange.h"
 #include "header_names.h"
+#include "hedging/hedge_policy.h"
 #include "metrics.h"
 #include "prompt_quarantine.h"
 #include "rollout/rollout_set.h"
@@ -40,7 +41,7 @@
 
 // Limits of the relay, taken from the settings.
 struct RelayLimits {
-  Duration key_age{};               // keyed requests are refused if the configuration is older
+  Duration key_age{};  // keyed requests are refused if the configuration is older
   // All requests are refused if the configuration is known to be superseded and was the newest one
   // longer ago than this; zero for no limit.
   Duration superseded_age{};
@@ -49,6 +50,7 @@
   double cold_overage = 1.0;        // multiple of a service's cold rate that all instances may send
   double cold_slack = 0;            // additional requests per second beyond cold_overage
   Duration max_rest = seconds(60);  // for which one answer of an upstream may turn an instance away
+  double hedge_share = 0;           // second attempts for each request that may be repeated
   double rollout_share = 0.1;       // of a service's requests that a faulty new version may get
 };
 
@@ -175,6 +177,12 @@
   // Sets the function that tells the other instances at once what has changed.
   void SetAnnounce(std::function<void()> announce) { announce_ = std::move(announce); }
 
+  // Second attempts for requests of a service.
+  HedgePolicy& Hedges(const std::string& service);
+
+  // Requests at the upstreams of a service for each of their slots, on average.
+  double LoadOf(const std::string& service) const;
+
   // Returns whether the retry budget of a service has room for one more retry, and whether it had
   // and the retry is recorded.
   bool MayRetry(const std::string& service, TimePoint now);
@@ -346,7 +354,8 @@
   std::unordered_map<const RelayCall*, std::weak_ptr<RelayCall>> calls_;
   std::map<std::string, SlidingWindowRetryBudget> budgets_;
   std::map<std::string, ServiceQueue> service_queues_;
-  std::map<std::string, GateState> gates_;  // by service
+  std::map<std::string, GateState> gates_;     // by service
+  std::map<std::string, HedgePolicy> hedges_;  // by service
   std::vector<std::weak_ptr<RelayCall>> held_calls_;
   bool configured_ = false;
   boost::asio::steady_timer queue_scan_timer_;
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -38,7 +38,6 @@
 // Maximum idle time of a connection that is reused. The upstream may close an idle connection at
 // any moment, so work that can't be retried uses recently used connections only.
 constexpr Duration kMaxIdleAtMostOnce = milliseconds(800);
-constexpr Duration kMaxIdleIdempotent = seconds(10);
 
 // Longer times that callers state have no effect, and could overflow.
 constexpr std::int64_t kMaxStatedMs = 24 * 3600 * 1000;
@@ -354,6 +353,7 @@
     attempt_deadline_ = now + timeout;
     ArmTimer(attempt_deadline_);
   }
+  PlanHedge(now);
   ++attempts_made_;
   connection_->Start(
       UpstreamRequestText(relay_.names(), request_, FieldsFor(upstream, now)),
@@ -400,6 +400,7 @@
     return;
   }
   if (deadline_ <= now) {
+    EndHedge(HedgeOutcome::kFailed);
     if (phase_ == Phase::kPlacing) {
       RespondWithFailure(AttemptFailure::kTimeout);
     } else {
@@ -407,6 +408,9 @@
     }
     return;
   }
+  if (hedge_at_ != TimePoint{} && hedge_at_ <= now && phase_ == Phase::kAwaitingHead) {
+    StartHedge(now);
+  }
   if (phase_ != Phase::kPlacing && attempt_deadline_ != TimePoint{} && attempt_deadline_ <= now) {
     if (!KeepsSilentAttempt(now) && CanBeSentElsewhere(AttemptFailure::kTimeout, now)) {
       FailAttempt(AttemptFailure::kTimeout, "no answer within the patience of an attempt");
@@ -416,6 +420,9 @@
   }
   if (phase_ != Phase::kDone && timer_at_ == TimePoint{}) {
     ArmTimer(attempt_deadline_ != TimePoint{} ? attempt_deadline_ : deadline_);
+    if (hedge_at_ != TimePoint{}) {
+      ArmTimer(hedge_at_);
+    }
   }
 }
 
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -52,6 +52,9 @@
   void EndAtStop();
 
  private:
+  // Maximum idle time of a connection that is reused for work that may be repeated.
+  static constexpr Duration kMaxIdleIdempotent = seconds(10);
+
   // Retry-After value if this instance can't serve the request but others may.
   static constexpr Duration kRetryElsewhere = milliseconds(50);
 
@@ -90,6 +93,24 @@
   void Send(UpstreamState& upstream, const std::vector<std::uint32_t>& holders, TimePoint now);
   UpstreamFields FieldsFor(const UpstreamState& upstream, TimePoint now) const;
 
+  // A second attempt, made while the first one is silent.
+  struct Hedge {
+    std::shared_ptr<UpstreamConnection> connection;
+    UpstreamId upstream;
+    std::string version;
+    bool cold = false;
+    TimePoint sent_at{};
+  };
+  // Sets the time at which a second attempt is due, if there may be one.
+  void PlanHedge(TimePoint now);
+  void StartHedge(TimePoint now);
+  void OnHedgeEvent(const UpstreamConnection* connection, ResponseEvent event);
+  void AdoptHedge();
+  // Gives up the second attempt, if there is one, and that which is planned. `not_run` tells that
+  // its upstream has not run the request.
+  void EndHedge(HedgeOutcome outcome, bool not_run = false);
+  void CountHedge(HedgeOutcome outcome);
+
   void OnEvent(ResponseEvent event);
   void OnHead(ResponseHead head);
   void OnBody(ResponseBody body);
@@ -174,6 +195,8 @@
   int runs_ = 0;           // attempts that may have run
   bool may_have_run_ = false;
   TimePoint sent_at_{};
+  std::optional<Hedge> hedge_;
+  TimePoint hedge_at_{};          // when a second attempt is due; zero if none is
   TimePoint attempt_deadline_{};  // when the attempt times out; zero for no timeout
   TimePoint first_byte_at_{};
   TimePoint heard_at_{};  // last byte of a response from the upstream of the current attempt
@@ -197,7 +220,7 @@
   std::uint32_t ticket_ = 0;  // distinguishes requests with the same id in the queue
   bool queued_ = false;
   bool passed_gate_ = false;
-  bool held_ = false;  // until the configuration is known
+  bool held_ = false;         // until the configuration is known
   TimePoint queued_since_{};  // when the request was first enqueued; zero if never
   bool no_upstream_ = false;  // the last placement found no upstream of the service
 
--- a/src/relay_finish.cc
+++ b/src/relay_finish.cc
@@ -102,6 +102,7 @@
 
 void RelayCall::Finish(std::string_view outcome, int status) {
   phase_ = Phase::kDone;
+  EndHedge(HedgeOutcome::kCancelled);
   relay_.RemoveCall(this);
   Dequeue();
   timer_.cancel();
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -96,6 +96,12 @@
                 "the stream could not go on: " + std::to_string(response.head.status));
     return;
   }
+  if (!success && hedge_) {
+    FailAttempt(AttemptFailure::kErrorResponse, std::to_string(response.head.status));
+    return;
+  }
+  EndHedge(HedgeOutcome::kCancelled);
+  relay_.Hedges(service_name_).OnAnswer(heard_at_ - sent_at_, heard_at_);
   head_ = std::move(response.head);
   received_bytes_ = 0;
   first_byte_at_ = BootTimeNow();
@@ -329,6 +335,12 @@
 void RelayCall::FailAttempt(AttemptFailure failure, const std::string& reason) {
   const TimePoint now = BootTimeNow();
   EndAttempt(failure, reason, now);
+  if (hedge_) {
+    AdoptHedge();
+    ArmTimer(deadline_);
+    relay_.ServeQueue(service_name_);
+    return;
+  }
   RetryOrRespond(failure, now);
   relay_.ServeQueue(service_name_);
 }
