--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -18,6 +18,15 @@
 
 namespace chiverail {
 
+// A second attempt of a request, made while the first one is silent.
+struct HedgeAttempt {
+  std::shared_ptr<UpstreamConnection> connection;
+  UpstreamId upstream;
+  std::string version;
+  bool cold = false;  // the upstream was, when the request was sent
+  TimePoint sent_at{};
+};
+
 // State machine of one caller's request: it is checked, placed, sent to one or several upstreams in
 // turn, and answered. Kept alive by the callbacks of its connections and its timer.
 class RelayCall : public std::enable_shared_from_this<RelayCall> {
@@ -93,14 +102,6 @@
   void Send(UpstreamState& upstream, const std::vector<std::uint32_t>& holders, TimePoint now);
   UpstreamFields FieldsFor(const UpstreamState& upstream, TimePoint now) const;
 
-  // A second attempt, made while the first one is silent.
-  struct Hedge {
-    std::shared_ptr<UpstreamConnection> connection;
-    UpstreamId upstream;
-    std::string version;
-    bool cold = false;
-    TimePoint sent_at{};
-  };
   // Sets the time at which a second attempt is due, if there may be one.
   void PlanHedge(TimePoint now);
   void StartHedge(TimePoint now);
@@ -196,7 +197,7 @@
   int runs_ = 0;                      // attempts that may have run
   bool may_have_run_ = false;
   TimePoint sent_at_{};
-  std::optional<Hedge> hedge_;
+  std::optional<HedgeAttempt> hedge_;
   TimePoint hedge_at_{};          // when a second attempt is due; zero if none is
   TimePoint attempt_deadline_{};  // when the attempt times out; zero for no timeout
   TimePoint first_byte_at_{};
--- a/src/relay_hedge.cc
+++ b/src/relay_hedge.cc
@@ -138,7 +138,7 @@
     return;
   }
   CountHedge(outcome);
-  const Hedge hedge = std::move(*hedge_);
+  const HedgeAttempt hedge = std::move(*hedge_);
   hedge_.reset();
   hedge.connection->Close();
   runs_ += not_run ? 0 : 1;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -108,7 +108,7 @@
   // Positions of the routes of a host, longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> routes_of_host_;
   std::unordered_map<std::string, std::size_t> service_positions_;
-  std::unordered_map<std::string, int> most_urgent_;  // by service
+  std::unordered_map<std::string, int> most_urgent_;           // by service
   std::unordered_map<std::string, Duration> longest_timeout_;  // by service
 };
 
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -40,7 +40,7 @@
   int peer_load = 0;          // requests in progress from the other instances, as last reported
   double average_load = 0;    // moving average of both
   TimePoint average_load_at{};
-  double failure_rate = 0;    // moving average of the share of failed requests
+  double failure_rate = 0;  // moving average of the share of failed requests
   TimePoint failure_rate_at{};
   // When the first request was sent since the upstream last sent any bytes; zero if it has no
   // unanswered requests.
