Read dropped bodies to their end however they are chunked, and end idle connections regularly

Cause: the limit on the framing of chunks also held for bodies that are dropped after an early refusal, of which nothing is kept to compare with; such a connection would have closed before its caller had sent all. And an idle connection that is closed for a new one was reset.

Change: the limit holds for bodies that are kept; idle connections end regularly.

Measured: found by reading; the unit tests of callers and refusals pass.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -92,7 +92,9 @@
   if (IsReceiving()) {
     Refuse(503);
   } else {
-    io_.Reset();
+    if (busy_) {
+      io_.Reset();
+    }
     HandleDisconnect();
     Release(read_buffer_);
   }
@@ -142,10 +144,12 @@
   if (parser_->complete()) {
     return false;
   }
-  if (read_buffer_.size() > listener_.limits().max_header_bytes + kMaxUnparsedSlack) {
-    return true;
-  }
-  const bool chunked = parser_->head_complete() && parser_->head().framing == BodyFraming::kChunked;
+  return read_buffer_.size() > listener_.limits().max_header_bytes + kMaxUnparsedSlack;
+}
+
+bool CallerConnection::HasExcessiveFraming() const {
+  const bool chunked = !parser_->complete() && parser_->head_complete() &&
+                       parser_->head().framing == BodyFraming::kChunked;
   return chunked && received_ > listener_.limits().max_header_bytes + kChunkOverheadSlack +
                                     kMaxChunkOverhead * (body_.size() + 1);
 }
@@ -173,7 +177,7 @@
   if (!parser_->complete() && parser_->head_complete()) {
     body_.append(parser_->TakeBody());
   }
-  if (IsMalformed()) {
+  if (IsMalformed() || HasExcessiveFraming()) {
     RefuseMalformed();
     return;
   }
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -116,8 +116,8 @@
   // Tells the account what this connection holds. `progress` as in HeldBytes::Set.
   void UpdateHeld(bool progress);
 
-  // Closes the connection because the process holds too much: a request that arrives is refused as
-  // not run, an answer that its caller does not read is cut.
+  // Closes the connection because the process holds too much, or for another one: a request that
+  // arrives is refused as not run, an answer that its caller does not read is cut.
   void CloseForMemory();
 
   // Closes the connection unless it has an unfinished request or was in use just now: the caller
@@ -136,6 +136,8 @@
   void Refuse(int status);
   void RefuseMalformed();
   bool IsMalformed() const;
+  // True if the chunks of a body take many times its size.
+  bool HasExcessiveFraming() const;
   std::size_t HeldNow() const;
   void NextRequest();
   void CloseWhenSent();
