--- a/review/10/play.py
+++ b/review/10/play.py
@@ -101,4 +101,4 @@
         len(late), max(sent_at for _, sent_at in late) - left_at)
 
 
-case.run(os.path.dirname(os.path.abspath(__file__)), play)
+case.run(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), play)
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -122,4 +122,4 @@
     return "%d streams end as complete before their last piece" % len(broken) if broken else ""
 
 
-case.run(os.path.dirname(os.path.abspath(__file__)), play)
+case.run(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), play)
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -143,4 +143,4 @@
         len(late), BOUNDS["contact_ms"])
 
 
-case.run(os.path.dirname(os.path.abspath(__file__)), play)
+case.run(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), play)
--- a/review/lib-2/case.py
+++ b/review/lib-2/case.py
@@ -1,6 +1,7 @@
 """The frame of a script: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
 import os
 import shutil
+import signal
 import sys
 import threading
 import traceback
@@ -14,9 +15,9 @@
 class Case:
     """A deployment with its store, and heartbeats of its workers."""
 
-    def __init__(self, folder, machines=3):
+    def __init__(self, record_path, machines=3):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Record(folder)
+        self.record = Record(record_path)
         self.record.line("TROUBLE=%d" % self.trouble)
         self.addresses = Addresses()
         self.next_outside = 1
@@ -55,12 +56,17 @@
                 self.store.put("servers", worker.id, worker.entry())
 
 
-def run(folder, play, machines=3):
+def run(record_path, play, machines=3):
     """Plays a case: `play` returns what broke the rule, or an empty text."""
+
+    def give_up(*_):
+        raise CannotRun("it takes too long")
+
+    signal.signal(signal.SIGTERM, give_up)
     case = None
     status = 2
     try:
-        case = Case(folder, machines)
+        case = Case(record_path, machines)
         broken = play(case)
         ended = case.deployment.exits()
         if ended:
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -34,12 +34,12 @@
 
 
 class Record:
-    """Writes what was sent, answered and run, with the seconds since the start, to record.txt."""
+    """Writes what was sent, answered and run, with the seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.start
@@ -157,6 +157,16 @@
         self.process.wait()
         self.deployment.record.line("%s: SIGKILL" % self.name)
 
+    def stop(self):
+        """Stops the process as planned: SIGTERM, and SIGKILL after grace_s."""
+        self.deployment.record.line("%s: SIGTERM" % self.name)
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            status = self.process.wait(BOUNDS["grace_s"])
+            self.deployment.record.line("%s: ended with status %d" % (self.name, status))
+        except subprocess.TimeoutExpired:
+            self.kill()
+
     def is_ready(self):
         try:
             return Client(self.address("ready"), 1).get("/api/ready") == 200
