Judge each entry of an upstream by what is known of its runs

Cause: the store may perform a write seconds late. UpstreamSet compared the sequence of an entry only for 15 s after a restore of the store; at other times the late entry added the upstream anew.

Change: RunHistory judges the entries of all paths by the start and sequence of the runs that are known, and by whether they lapsed or left. Copies of the list tell their readers the last value of a removed row, how long before it was written, and the first write after a change, since heartbeats don't reach them.

Why it works: a run is known by its start, and its sequence rises, so an entry below the newest one is old on whatever path it comes. Where that can't be told (the last entry before a removal, an unknown run), the entry counts once the upstream has written on, which one that has ended doesn't.

--- a/src/upstream_set.cc
+++ b/src/upstream_set.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 
 #include <xxhash.h>
 
@@ -52,50 +51,31 @@
   return upstream.failure_rate * std::exp2(-std::max(0.0, half_lives));
 }
 
-bool UpstreamSet::RestoredLately(TimePoint now) const {
-  return list_restored_at_ != TimePoint{} && now < list_restored_at_ + kRestoreTime;
+bool UpstreamSet::IsSettled(TimePoint now) const {
+  return read_since_ != TimePoint{} && read_since_ + kReregistrationGrace <= now &&
+         !InReregistrationGrace(now);
 }
 
-bool UpstreamSet::IsDoubtful(const UpstreamEntry& entry, TimePoint now) {
-  const auto found = departed_.find(entry.id);
-  if (found == departed_.end()) {
-    return false;
-  }
-  Departed& departed = found->second;
-  const bool restored_since = RestoredLately(now) && departed.at < list_restored_at_;
-  if (restored_since && entry.started_ms < departed.started_ms) {
-    return true;
-  }
-  const bool listed_before = departed.listed_at != TimePoint{};
-  const bool written_again = listed_before && entry.sequence > departed.sequence;
-  const bool still_listed = listed_before && departed.listed_at + kDoubtTime <= now;
-  if (entry.started_ms != departed.started_ms || written_again || still_listed ||
-      (!restored_since && !listed_before)) {
-    departed_.erase(found);
-    return false;
-  }
-  // Heartbeats don't reach every instance, so the first entry that is seen counts as an old one.
-  departed.sequence = std::max(departed.sequence, entry.sequence);
-  departed.listed = entry;
-  departed.listed_at = listed_before ? departed.listed_at : now;
-  return true;
+EntryStanding UpstreamSet::Apply(const UpstreamEntry& entry, TimePoint now) {
+  return Judge(entry, IsSettled(now) ? RunHistory::Source::kChange : RunHistory::Source::kListing,
+               now);
 }
 
-void UpstreamSet::Apply(const UpstreamEntry& entry, TimePoint now) {
-  if (IsDoubtful(entry, now)) {
-    return;
+EntryStanding UpstreamSet::Judge(const UpstreamEntry& entry,
+                                 RunHistory::Source source,
+                                 TimePoint now) {
+  const EntryStanding standing = runs_.Judge(entry, source, now);
+  if (standing == EntryStanding::kOld && runs_.RestoredLately(now)) {
+    if (const auto listed = upstreams_.find(entry.id); listed != upstreams_.end()) {
+      listed->second.entry_lapsed = false;
+    }
+  }
+  if (standing != EntryStanding::kCurrent) {
+    return standing;
   }
   const auto [position, added] = upstreams_.try_emplace(entry.id);
   UpstreamState& upstream = position->second;
   const bool restarted = !added && entry.started_ms != upstream.entry.started_ms;
-  if (!added && entry.started_ms < upstream.entry.started_ms) {
-    return;  // entry of an earlier run of the upstream
-  }
-  if (!added && !restarted && entry.started_ms != 0 && RestoredLately(now) &&
-      entry.sequence < upstream.entry.sequence) {
-    upstream.entry_lapsed = false;
-    return;
-  }
   if (added) {
     upstream.tag = UpstreamTag(entry.id);
     tags_[upstream.tag] = entry.id;
@@ -111,46 +91,32 @@
   } else if (!added && upstream.connect_failures == 0) {
     upstream.cold_until = {};
   }
-  // An older entry of the same run never clears the draining flag.
-  upstream.draining = upstream.draining || entry.draining;
+  upstream.draining = upstream.draining || runs_.IsDraining(entry.id);
   upstream.removed = false;
   upstream.entry_lapsed = false;
   upstream.entry = entry;
+  return standing;
 }
 
 bool UpstreamSet::InReregistrationGrace(TimePoint now) const {
   return list_recovered_at_ != TimePoint{} && now < list_recovered_at_ + kReregistrationGrace;
 }
 
-void UpstreamSet::Remove(const UpstreamId& id, TimePoint now) {
-  if (const auto departed = departed_.find(id); departed != departed_.end()) {
-    departed->second.listed_at = {};
-  }
+void UpstreamSet::Remove(const UpstreamId& id, TimePoint now, std::optional<Duration> silence) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) {
-    return;
-  }
-  if (InReregistrationGrace(now)) {
+    runs_.OnRemoved(id, silence, now);
+  } else if (InReregistrationGrace(now)) {
+    runs_.OnNotListed(id);
     found->second.entry_lapsed = true;
-    return;
-  }
-  Retire(found->second, now);
-}
-
-void UpstreamSet::Remember(const UpstreamState& upstream, TimePoint now) {
-  if (departed_.size() >= kMaxDeparted && departed_.count(upstream.entry.id) == 0) {
-    departed_.erase(
-        std::min_element(departed_.begin(), departed_.end(),
-                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+  } else {
+    Retire(found->second, silence, now);
   }
-  departed_[upstream.entry.id] = {upstream.entry.started_ms, upstream.entry.sequence, now, {}, {}};
 }
 
 // An upstream with requests in progress is kept until they end, but gets no new ones.
-void UpstreamSet::Retire(UpstreamState& upstream, TimePoint now) {
-  if (!upstream.removed) {
-    Remember(upstream, now);
-  }
+void UpstreamSet::Retire(UpstreamState& upstream, std::optional<Duration> silence, TimePoint now) {
+  runs_.OnRemoved(upstream.entry.id, silence, now);
   upstream.removed = true;
   if (upstream.own_load == 0) {
     tags_.erase(upstream.tag);
@@ -163,7 +129,7 @@
   std::set<UpstreamId> listed;
   for (const UpstreamEntry& entry : entries) {
     listed.insert(entry.id);
-    Apply(entry, now);
+    Judge(entry, RunHistory::Source::kListing, now);
   }
   std::vector<UpstreamId> missing;
   for (const auto& [id, upstream] : upstreams_) {
@@ -171,9 +137,9 @@
       missing.push_back(id);
     }
   }
-  for (const auto& [id, run] : departed_) {
-    if (run.listed_at != TimePoint{} && listed.count(id) == 0) {
-      missing.push_back(id);
+  for (const UpstreamId& id : runs_.Doubtful()) {
+    if (listed.count(id) == 0) {
+      runs_.OnNotListed(id);
     }
   }
   for (const UpstreamId& id : missing) {
@@ -186,6 +152,10 @@
   if (list_as_of_ != TimePoint{} && as_of > last_read + kListOutageThreshold) {
     list_recovered_at_ = now;
   }
+  if (list_as_of_ == TimePoint{} || as_of > list_as_of_ + kListOutageThreshold) {
+    read_since_ = now;
+    runs_.OnReadAfterGap(now);
+  }
   list_as_of_ = std::max(list_as_of_, as_of);
 }
 
@@ -199,18 +169,11 @@
     }
   }
   for (const UpstreamId& id : expired) {
-    Retire(upstreams_.at(id), now);
-  }
-  std::vector<UpstreamEntry> still_listed;
-  for (auto departed = departed_.begin(); departed != departed_.end();) {
-    const Departed& run = departed->second;
-    if (run.listed_at != TimePoint{} && run.listed_at + kDoubtTime <= now) {
-      still_listed.push_back(run.listed);
-    }
-    const bool forgotten = run.listed_at == TimePoint{} && run.at + kDepartedTime <= now;
-    departed = forgotten ? departed_.erase(departed) : std::next(departed);
+    UpstreamState& upstream = upstreams_.at(id);
+    const bool lapsed = upstream.entry_lapsed && !upstream.removed;
+    Retire(upstream, lapsed ? std::optional<Duration>(RunHistory::kLapseTime) : std::nullopt, now);
   }
-  for (const UpstreamEntry& entry : still_listed) {
+  for (const UpstreamEntry& entry : runs_.Update(now)) {
     Apply(entry, now);
   }
 }
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -4,28 +4,17 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "types.h"
+#include "upstream_runs/run_history.h"
+#include "upstream_runs/upstream_entry.h"
 
 namespace chiverail {
 
-// Entry of an upstream in the platform's list.
-struct UpstreamEntry {
-  UpstreamId id;
-  std::string service;
-  std::string address;  // "ip:port"
-  DataCentreId data_centre;
-  std::string version;  // of its software; may be empty
-  int slots = 1;
-  bool draining = false;
-  Duration cold_remaining{};    // how long it stays cold, counted from the write of the entry
-  std::int64_t started_ms = 0;  // Unix time of its start; distinguishes runs under the same id
-  std::uint64_t sequence = 0;   // rises within a run; not all entries reach every instance
-};
-
 // State of one upstream as seen by this instance.
 struct UpstreamState {
   UpstreamEntry entry;
@@ -52,13 +41,17 @@
 // entries during an outage and may contain entries of earlier runs.
 class UpstreamSet {
  public:
-  // Applies an entry that was added or changed.
-  void Apply(const UpstreamEntry& entry, TimePoint now);
+  // Applies an entry that was added or changed, if it is current.
+  EntryStanding Apply(const UpstreamEntry& entry, TimePoint now);
 
   // Applies the removal of an entry. During the grace period after an outage of the list
   // (kReregistrationGrace), the upstream is kept, because live upstreams first have to write their
-  // entries again.
-  void Remove(const UpstreamId& id, TimePoint now);
+  // entries again. `silence` is the time since the entry had been written, if known from another
+  // instance.
+  void Remove(const UpstreamId& id, TimePoint now, std::optional<Duration> silence = {});
+
+  // Records an entry that another instance has seen before its removal.
+  void OnLastEntry(const UpstreamEntry& entry) { runs_.OnLastEntry(entry); }
 
   // Applies a complete listing; upstreams that are not in it are removed.
   void Replace(const std::vector<UpstreamEntry>& entries, TimePoint now);
@@ -69,12 +62,11 @@
   void OnListRead(TimePoint as_of, TimePoint now);
 
   // Records that the list has come back from an older copy, before its entries are applied. They
-  // don't undo what is known: the grace period holds for those that are missing, entries older than
-  // the known ones are ignored, and upstreams known to be gone are used again only once their
-  // entries have been written again, or are still listed after kDoubtTime.
+  // don't undo what is known: the grace period holds for those that are missing, and RunHistory
+  // judges the others.
   void OnListRestored(TimePoint now) {
     list_recovered_at_ = now;
-    list_restored_at_ = now;
+    runs_.OnListRestored(now);
   }
 
   // Records that another instance has read the list with its contents at `as_of`: the list itself
@@ -120,32 +112,12 @@
   void OnAddressTaken(UpstreamState& upstream);
 
  private:
-  // A run of an upstream that is gone.
-  struct Departed {
-    std::int64_t started_ms = 0;
-    std::uint64_t sequence = 0;
-    TimePoint at{};
-    // Entry of this run in a restored list, and when it was first seen; zero if there is none.
-    UpstreamEntry listed;
-    TimePoint listed_at{};
-  };
-
-  // Entries in a restored list may be older than what is known for this long.
-  static constexpr Duration kRestoreTime = seconds(15);
-
-  // An upstream that has ended lapses from the list after three heartbeats of about 1.2 s.
-  static constexpr Duration kDoubtTime = seconds(6);
-
-  // For how long, and how many, departed runs are remembered; more than a copy of the list is old.
-  static constexpr Duration kDepartedTime = seconds(60);
-  static constexpr std::size_t kMaxDeparted = 1024;
-
   bool InReregistrationGrace(TimePoint now) const;
-  bool RestoredLately(TimePoint now) const;
-  // Returns true if the entry is of a run that is known to be gone, and may be older than that.
-  bool IsDoubtful(const UpstreamEntry& entry, TimePoint now);
-  void Remember(const UpstreamState& upstream, TimePoint now);
-  void Retire(UpstreamState& upstream, TimePoint now);
+  // Returns true if the list has been read without a gap for long enough that an upstream that is
+  // not known yet must be new.
+  bool IsSettled(TimePoint now) const;
+  EntryStanding Judge(const UpstreamEntry& entry, RunHistory::Source source, TimePoint now);
+  void Retire(UpstreamState& upstream, std::optional<Duration> silence, TimePoint now);
 
   std::map<UpstreamId, UpstreamState> upstreams_;
   std::map<std::uint32_t, UpstreamId> tags_;
@@ -153,8 +125,8 @@
   TimePoint list_as_of_{};
   TimePoint list_seen_as_of_{};  // of the newest read that another instance has told about
   TimePoint list_recovered_at_{};
-  TimePoint list_restored_at_{};
-  std::map<UpstreamId, Departed> departed_;
+  TimePoint read_since_{};  // since when the list has been read without a gap
+  RunHistory runs_;
 };
 
 // Minimum gap between two reads of the list that counts as an outage. Entries lapse after three
--- a/tests/platform_decoders_test.cc
+++ b/tests/platform_decoders_test.cc
@@ -32,7 +32,7 @@
 }
 
 StoreRow Row(const std::string& key, std::uint64_t version, bool deleted = false) {
-  return {key, "value", version, deleted};
+  return {key, deleted ? "" : "value", version, deleted};
 }
 
 }  // namespace
@@ -257,6 +257,32 @@
     REQUIRE(copy.ChangesAfter(20)->size() == 1);
     CHECK(copy.changed_version() == 21);
   }
+  // Guards against readers of a copy that take a write which took effect late for one of a living
+  // upstream (review/10): heartbeats don't reach them.
+  SECTION("with the first row that is written again after a change, and no further one") {
+    copy.SetSameMeaning([](const std::string& before, const std::string& after) {
+      return before.substr(0, 1) == after.substr(0, 1);
+    });
+    copy.ApplyChanges({Row("d", 14)}, 14, kStart + seconds(1));
+    copy.ApplyChanges({Row("d", 15)}, 15, kStart + seconds(2));
+    CHECK(copy.ChangesAfter(14)->size() == 1);
+    copy.ApplyChanges({Row("d", 16)}, 16, kStart + seconds(3));
+    CHECK(copy.ChangesAfter(15)->empty());
+  }
+  SECTION("with the last value of a row that was deleted, and when that was written") {
+    copy.ApplyChanges({Row("c", 14)}, 14, kStart + seconds(2));
+    copy.ApplyChanges({Row("c", 15, true)}, 15, kStart + seconds(5));
+    const StoreRow deleted = copy.ChangesAfter(14)->at(0);
+    CHECK(deleted.deleted);
+    CHECK(deleted.value == Row("c", 14).value);
+    CHECK(deleted.silence == seconds(3));
+    SECTION("as another instance has told it") {
+      TableCopy second;
+      second.Replace({Row("c", 12)}, 12, kStart + seconds(1));
+      second.ApplyChanges({deleted}, 15, kStart + seconds(6));
+      CHECK(second.ChangesAfter(14)->at(0).silence == seconds(3));
+    }
+  }
   // Guards against a wave of listings: when the store dropped its history, a reader listed the
   // table again, and all instances that read from it had to do so too.
   SECTION("through a new listing of this instance, as the differences to the one before") {
--- a/tests/upstream_set_test.cc
+++ b/tests/upstream_set_test.cc
@@ -191,6 +191,153 @@
   CHECK(UsableCount(upstreams, kStart + seconds(1)) == 1);
 }
 
+// Guards against an upstream that is used again after it has left, since the store performs one of
+// its writes late (review/10, DRAIN), and against one that is used by an entry of a former run.
+TEST_CASE("An entry that takes effect late brings no upstream back") {
+  const auto entry = [](std::uint64_t sequence, std::int64_t started_ms = 5) {
+    UpstreamEntry written = Entry("a", started_ms);
+    written.sequence = sequence;
+    return written;
+  };
+  UpstreamSet upstreams;
+  TimePoint now = kStart;
+  const auto pass = [&](Duration time) {
+    for (const TimePoint end = now + time; now < end;) {
+      now += milliseconds(100);
+      upstreams.OnListRead(now, now);
+      upstreams.Expire(now);
+    }
+  };
+  upstreams.OnListRead(now, now);
+  upstreams.Replace({entry(10)}, now);
+  pass(seconds(4));
+  upstreams.Apply(entry(14), now);
+  const auto usable = [&] { return UsableCount(upstreams, now) == 1; };
+  REQUIRE(usable());
+
+  SECTION("an older entry changes nothing while the upstream is listed") {
+    UpstreamEntry late = entry(12);
+    late.address = "10.0.0.2:80";
+    upstreams.Apply(late, now);
+    CHECK(upstreams.Find("a")->entry.address == "10.0.0.1:80");
+    CHECK(upstreams.Find("a")->entry.sequence == 14);
+  }
+  SECTION("an upstream that has left is not used after an older entry") {
+    upstreams.Remove("a", now);
+    pass(milliseconds(1500));
+    upstreams.Apply(entry(12), now);
+    CHECK_FALSE(usable());
+    pass(milliseconds(3700));  // it lapses
+    CHECK_FALSE(usable());
+    upstreams.Remove("a", now);
+    pass(seconds(10));
+    CHECK_FALSE(usable());
+  }
+  SECTION("nor after several, which take effect in their order") {
+    upstreams.Remove("a", now);
+    for (const std::uint64_t sequence : {11, 12, 13}) {
+      pass(milliseconds(500));
+      upstreams.Apply(entry(sequence), now);
+      CHECK_FALSE(usable());
+    }
+  }
+  SECTION("nor after its last one, which nobody has seen before it left") {
+    upstreams.Remove("a", now);
+    pass(milliseconds(1500));
+    upstreams.Apply(entry(15), now);
+    CHECK_FALSE(usable());
+    SECTION("but one that writes on is used") {
+      pass(milliseconds(1200));
+      upstreams.Apply(entry(16), now);
+      CHECK(usable());
+    }
+    SECTION("as is one that is still listed when an upstream that has ended would have lapsed") {
+      pass(milliseconds(5900));
+      CHECK_FALSE(usable());
+      pass(milliseconds(200));
+      CHECK(usable());
+    }
+  }
+  SECTION("one that drains goes on draining, in its entries of before and after its removal") {
+    UpstreamEntry draining = entry(15);
+    draining.draining = true;
+    upstreams.Apply(draining, now);
+    upstreams.Apply(entry(14), now);
+    CHECK_FALSE(usable());
+    upstreams.Remove("a", now);
+    pass(seconds(1));
+    upstreams.Apply(entry(15), now);
+    CHECK_FALSE(usable());
+  }
+  SECTION("one whose entry lapsed is back as soon as it writes on") {
+    pass(milliseconds(3600));
+    upstreams.Remove("a", now);
+    pass(seconds(2));
+    upstreams.Apply(entry(13), now);
+    CHECK_FALSE(usable());
+    upstreams.Remove("a", now);
+    upstreams.Apply(entry(17), now);
+    CHECK(usable());
+  }
+  SECTION("one that starts again is used at once") {
+    upstreams.Remove("a", now);
+    upstreams.Apply(entry(1, 6), now);
+    CHECK(usable());
+    SECTION("and an entry of the run before changes nothing") {
+      upstreams.Apply(entry(15), now);
+      CHECK(upstreams.Find("a")->entry.started_ms == 6);
+      upstreams.Apply(entry(2, 6), now);
+      pass(seconds(7));
+      CHECK(upstreams.Find("a")->entry.started_ms == 6);
+    }
+    SECTION("nor after the new run has gone, too") {
+      upstreams.Remove("a", now);
+      upstreams.Apply(entry(15), now);
+      CHECK_FALSE(usable());
+    }
+  }
+  SECTION("one that starts again on a clock set back is used once it writes on") {
+    upstreams.Apply(entry(1, 4), now);
+    CHECK(upstreams.Find("a")->entry.started_ms == 5);
+    pass(milliseconds(1200));
+    upstreams.Apply(entry(2, 4), now);
+    CHECK(upstreams.Find("a")->entry.started_ms == 4);
+    SECTION("and a late entry of the run before, which seems to be newer, changes nothing") {
+      upstreams.Apply(entry(13), now);
+      CHECK(upstreams.Find("a")->entry.started_ms == 4);
+    }
+  }
+}
+
+// Guards against the same at an instance that has started after the upstream left, and so has
+// nothing to compare a late entry with.
+TEST_CASE("An instance that has started uses unknown upstreams only if they are new or write on") {
+  UpstreamSet upstreams;
+  upstreams.OnListRead(kStart, kStart);
+  UpstreamEntry entry = Entry("a");
+  entry.sequence = 40;
+  TimePoint now = kStart + seconds(1);
+  SECTION("within the time in which upstreams write their entries again, all are used") {
+    upstreams.Apply(entry, now);
+    CHECK(UsableCount(upstreams, now) == 1);
+  }
+  for (; now < kStart + seconds(4); now += milliseconds(100)) {
+    upstreams.OnListRead(now, now);
+  }
+  SECTION("later, one that has just started is used at once") {
+    entry.sequence = 1;
+    upstreams.Apply(entry, now);
+    CHECK(UsableCount(upstreams, now) == 1);
+  }
+  SECTION("but one of an old run only after its next entry") {
+    upstreams.Apply(entry, now);
+    CHECK(UsableCount(upstreams, now) == 0);
+    entry.sequence = 41;
+    upstreams.Apply(entry, now + seconds(1));
+    CHECK(UsableCount(upstreams, now + seconds(1)) == 1);
+  }
+}
+
 TEST_CASE("An unreachable upstream is not used during a back-off time") {
   UpstreamSet upstreams;
   upstreams.Apply(Entry("a"), kStart);
