--- a/tests/run_history_test.cc
+++ b/tests/run_history_test.cc
@@ -54,6 +54,20 @@
   }
 }
 
+// Guards against an upstream that is lost for good since the sequence of its new run is lower.
+TEST_CASE("Entries that don't state the start of their run are not compared") {
+  RunHistory runs;
+  const auto judge = [&](std::uint64_t sequence) {
+    UpstreamEntry entry = Entry(1, sequence);
+    entry.started_ms = 0;
+    return runs.Judge(entry, RunHistory::Source::kChange, kStart);
+  };
+  CHECK(judge(40) == EntryStanding::kCurrent);
+  CHECK(judge(1) == EntryStanding::kCurrent);
+  runs.OnRemoved("i-1", {}, kStart);
+  CHECK(judge(50) == EntryStanding::kCurrent);
+}
+
 // Guards against readers of another instance's copy, whom heartbeats don't reach.
 TEST_CASE("What another instance has seen of a removed entry counts") {
   RunHistory runs;
