Ignore entries of upstreams that lack a field

Cause: an entry of another writer without version, cold_remaining_ms and sequence was taken though fields were missing; with a newer start it counted as a new run that all entries of the worker itself were older than.

Change: these fields are required, of their type, as the page on service discovery says ("fields missing or of another type [...] names no worker to use"). The check that an entry with a sequence of 1e300 is taken contradicts this sentence and now expects the opposite. The sample of the fuzz test becomes a whole entry, so that mutations still pass the decoder.

--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -27,7 +27,8 @@
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nA: b\r\n\r\n",
       "id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n",
       R"({"rows":[{"key":"a","ver":3,"value":"aGk="},{"key":"b","ver":4,"tombstone":true}],"ver":9})",
-      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":5})",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready",)"
+      R"("cold_remaining_ms":0,"sequence":4,"born":5})",
       R"({"version":3,"routes":[{"prefix":"/a/","kind":"safe"}],"services":[{"name":"s"}]})",
       R"({"instance_id":"i","data_centre":"d","caller_address":"1.2.3.4:5"})",
       "/api/resolve?name=h&zone=%7a%zz&region=%",
--- a/tests/platform_decoders_test.cc
+++ b/tests/platform_decoders_test.cc
@@ -117,7 +117,8 @@
   // Other writers leave malformed entries in the table. Each must be ignored without affecting the
   // other entries.
   SECTION("malformed entries are ignored") {
-    for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    for (const char* field : {"service", "address", "zone", "version", "slots", "state",
+                              "cold_remaining_ms", "sequence"}) {
       json missing = ReadyEntry();
       missing.erase(field);
       CHECK_FALSE(DecodeUpstream("i-1", missing.dump()));
@@ -162,7 +163,7 @@
       CHECK_FALSE(DecodeUpstream("i-1", address.dump()));
     }
     CHECK(DecodeUpstream("i-1", with("cold_remaining_ms", "-5"))->cold_remaining == Duration{});
-    CHECK(DecodeUpstream("i-1", with("sequence", "1e300")));
+    CHECK_FALSE(DecodeUpstream("i-1", with("sequence", "1e300")));
   }
 
   // Guards against a stack or memory that runs out on a row of another writer.
