Take no answer for whole because its upstream leaves

Cause: an answer without a length whose upstream refuses a new connection counts as cut, except if the upstream leaves. That it leaves tells nothing about the answer.

Change: one rule for all upstreams. The answer is whole if the process lives: a new connection is accepted, or it is refused and another connection to the upstream is still open, as with a process that has only stopped to listen. Otherwise the answer counts as cut. The section of the test that expected every answer of an upstream that leaves to be whole is wrong in that; two sections replace it: such an answer is whole while other connections of the process are open, and is not if they end with it. All cases of a cut answer now run with upstreams that drain, say that they leave, or are removed.

Why it works: a killed process closes its connections and its listening socket within 30 ms; what is open after that belongs to a living one.

--- a/src/relay.cc
+++ b/src/relay.cc
@@ -278,10 +278,6 @@
                         : terms_.StandingOf(RunTag(upstream.entry), now);
 }
 
-bool Relay::IsLeaving(const UpstreamState& upstream, TimePoint now) const {
-  return upstream.draining || StandingOf(upstream, now).leaving;
-}
-
 ChoiceQuery Relay::QueryFor(const std::string& service, const ServiceConfig* config) {
   ChoiceQuery query;
   query.service = service;
--- a/src/relay.h
+++ b/src/relay.h
@@ -202,9 +202,6 @@
   // cuts.
   void CheckEnded(const UpstreamState& upstream, const std::vector<PromptSegment>& segments);
 
-  // Returns whether an upstream is about to end, by its entry or by its answers.
-  bool IsLeaving(const UpstreamState& upstream, TimePoint now) const;
-
   // Begins the stop of this instance, see StopPlan. Requests that wait and won't end in time are
   // refused.
   void BeginStop(TimePoint accept_until, TimePoint deadline, TimePoint now);
--- a/src/relay_call.cc
+++ b/src/relay_call.cc
@@ -344,6 +344,7 @@
   answer_begun_at_ = {};
   prompt_sound_ = false;
   new_connection_.reset();
+  upstream_lives_ = true;
   sent_at_ = now;
   heard_at_ = {};
   attempt_deadline_ = {};
--- a/src/relay_call.h
+++ b/src/relay_call.h
@@ -213,6 +213,7 @@
   std::size_t unsent_bytes_ = 0;      // of a response that was cut, not taken by the connection
   // What a new connection showed after the last response, if that ended with its connection.
   std::optional<ConnectResult> new_connection_;
+  bool upstream_lives_ = true;           // false if it has ended with such a response
   std::size_t partial_event_bytes_ = 0;  // of the last response, after its last complete event
   int load_at_send_ = 0;
   std::optional<Duration> load_age_;  // of the other instances' part of it
--- a/src/relay_finish.cc
+++ b/src/relay_finish.cc
@@ -141,6 +141,7 @@
   }
   if (new_connection_) {
     line["new_connection"] = NameOf(kConnectResultNames, *new_connection_);
+    line["upstream_lives"] = upstream_lives_;
   }
   if (partial_event_bytes_ > 0) {
     line["partial_event_bytes"] = partial_event_bytes_;
--- a/src/relay_hedge.cc
+++ b/src/relay_hedge.cc
@@ -128,6 +128,7 @@
   answer_begun_at_ = {};
   heard_at_ = {};
   new_connection_.reset();
+  upstream_lives_ = true;
   phase_ = Phase::kAwaitingHead;
   hedge_.reset();
 }
--- a/src/relay_response.cc
+++ b/src/relay_response.cc
@@ -126,11 +126,9 @@
   }
 }
 
-// The end of an upstream that leaves does not show what its prompts do.
+// The answer of an upstream that has ended with it does not show what its prompt does.
 void RelayCall::OnAnswerEnded() {
-  const bool accepts =
-      new_connection_.value_or(ConnectResult::kAccepted) == ConnectResult::kAccepted;
-  if (!std::exchange(prompt_sound_, true) && accepts) {
+  if (!std::exchange(prompt_sound_, true) && upstream_lives_) {
     relay_.quarantine().OnBegun(shared_segments_, BootTimeNow());
   }
 }
@@ -277,10 +275,12 @@
     FailAttempt(AttemptFailure::kBroken, "the upstream ended its answer without reading on");
     return;
   }
-  // A process that stops may refuse connections before its last answers have ended.
-  const UpstreamState* upstream = relay_.upstreams().Find(upstream_id_);
-  const bool leaves = upstream != nullptr && relay_.IsLeaving(*upstream, BootTimeNow());
-  if (result == ConnectResult::kAccepted || leaves) {
+  // A process that stops may refuse connections before its last answers have ended, and then its
+  // other connections are still open. That it leaves shows nothing: it may be killed meanwhile.
+  upstream_lives_ =
+      result == ConnectResult::kAccepted ||
+      (result == ConnectResult::kRefused && relay_.pool().HasOpen(connection_->address()));
+  if (upstream_lives_) {
     CompleteAnswer();
   } else {
     FailAttempt(AttemptFailure::kBroken, "the upstream ended with its answer");
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -61,6 +61,13 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool IsEstablished(tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         info.tcpi_state == TCP_ESTABLISHED;
+}
+
 std::optional<std::size_t> UnacknowledgedBytes(tcp::socket& socket) {
   const int fd = socket.native_handle();
   int error = 0;
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -108,6 +108,10 @@
 // Returns whether the peer has neither sent bytes that have not been read nor ended the connection.
 bool IsQuiet(boost::asio::ip::tcp::socket& socket);
 
+// Returns whether the connection is established and the peer has not ended it. Leaves an error of
+// the socket to the next read.
+bool IsEstablished(boost::asio::ip::tcp::socket& socket);
+
 // Returns the number of written bytes that the peer has not acknowledged, or nullopt if the
 // connection has failed, such as by a reset. Unlike a read it also shows a reset that follows the
 // end of the received stream. An error is reported once.
--- a/src/upstream_connection.cc
+++ b/src/upstream_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace chiverail {
@@ -278,7 +279,18 @@
     }
     connection->Close();
   }
-  return std::make_shared<UpstreamConnection>(io_, address);
+  const auto connection = std::make_shared<UpstreamConnection>(io_, address);
+  all_[address].push_back(connection);
+  return connection;
+}
+
+bool UpstreamPool::HasOpen(const std::string& address) const {
+  const auto found = all_.find(address);
+  return found != all_.end() &&
+         std::any_of(found->second.begin(), found->second.end(), [](const auto& weak) {
+           const auto connection = weak.lock();
+           return connection && connection->IsOpen();
+         });
 }
 
 void UpstreamPool::Return(std::shared_ptr<UpstreamConnection> connection) {
@@ -298,6 +310,13 @@
 }
 
 void UpstreamPool::Expire() {
+  for (auto entry = all_.begin(); entry != all_.end();) {
+    auto& connections = entry->second;
+    connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                     [](const auto& connection) { return connection.expired(); }),
+                      connections.end());
+    entry = connections.empty() ? all_.erase(entry) : std::next(entry);
+  }
   const TimePoint now = BootTimeNow();
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     auto& idle = entry->second;
--- a/src/upstream_connection.h
+++ b/src/upstream_connection.h
@@ -64,6 +64,9 @@
   // after it and the peer has not closed the connection.
   bool Reusable();
 
+  // True if the upstream has neither ended the connection nor failed to open it.
+  bool IsOpen() const { return io_ && io_->open() && IsEstablished(io_->socket()); }
+
   // True if a response has been received on this connection before the request in progress.
   bool used() const { return responses_ > 0; }
 
@@ -120,7 +123,7 @@
   Handler handler_;
 };
 
-// Pool of idle connections to upstreams, by address.
+// Pool of idle connections to upstreams, by address. Knows of those in use, too.
 class UpstreamPool {
  public:
   explicit UpstreamPool(boost::asio::io_context& io) : io_(io) {}
@@ -131,6 +134,9 @@
   // Returns a connection to the pool if it can be reused, otherwise closes it.
   void Return(std::shared_ptr<UpstreamConnection> connection);
 
+  // Returns whether any connection to an address is open at its other end.
+  bool HasOpen(const std::string& address) const;
+
   // Closes the idle connections to an address. Called after a connection to it has failed.
   void CloseIdle(const std::string& address);
 
@@ -140,6 +146,7 @@
  private:
   boost::asio::io_context& io_;
   std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+  std::unordered_map<std::string, std::vector<std::weak_ptr<UpstreamConnection>>> all_;
 };
 
 }  // namespace chiverail
--- a/tests/answer_end_soak.py
+++ b/tests/answer_end_soak.py
@@ -1,6 +1,6 @@
 """Soak test of how answers end: workers and instances of chiverail_gateway are processes of their own, and answers that
 are being sent, with a length, in chunks or with neither, end early in the ways in which a process can end them:
-workers are killed, stopped and continued, reset a connection, close it or one direction of it; instances are paused
+workers are killed, with notice or without, stopped and continued, reset a connection, close it or one direction of it; instances are paused
 over a reset, and callers read slowly.
 
 MIXED: a 2xx that looks complete to its caller (by its length, its last chunk or a regular close) and whose body isn't
@@ -47,13 +47,14 @@
     def __init__(self, name, service, log):
         self.name, self.service = name, service
         self.killed = None
+        self.state = "ready"
         program = pathlib.Path(__file__).with_name("answer_end_workers.py")
         self.process = subprocess.Popen([sys.executable, str(program), name, log], stdout=subprocess.PIPE)
         self.address = self.process.stdout.readline().decode().strip()
 
     def entry(self, sequence):
         return {"service": self.service, "address": self.address, "zone": "west", "version": "v1", "slots": 16,
-                "state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": 1}
+                "state": self.state, "cold_remaining_ms": 0, "sequence": sequence, "born": 1}
 
     def kill(self):
         self.killed = self.killed or time.monotonic()
@@ -65,7 +66,7 @@
         self.options, self.seed, self.log = options, seed, os.path.join(folder, "answers.log")
         self.random = random.Random("%d disturbances" % seed)
         self.store, self.gateways, self.workers, self.rows = Store(), [], [], []
-        self.end = None
+        self.end, self.sequence = None, 1
 
     def add_worker(self, service):
         worker = WorkerProcess("w-%d" % len(self.workers), service, self.log)
@@ -115,16 +116,16 @@
                 raise result
 
     async def refresh_entries(self):
-        sequence = 1
         while True:
             await asyncio.sleep(1)
-            sequence += 1
+            self.sequence += 1
             for worker in self.workers:
                 if not worker.killed:
-                    self.store.put("servers", worker.name, worker.entry(sequence))
+                    self.store.put("servers", worker.name, worker.entry(self.sequence))
 
     async def disturb_workers(self):
-        """Kills a worker or stops it for a while. Another one takes the place of a killed one."""
+        """Kills a worker, some of them after they have said that they leave, or stops it for a while. Another one takes the
+        place of a killed one."""
         while True:
             await asyncio.sleep(self.random.uniform(0.3, 1.2))
             worker = self.random.choice([worker for worker in self.workers if not worker.killed])
@@ -134,6 +135,10 @@
                 worker.process.send_signal(signal.SIGCONT)
                 if self.random.random() < 0.5:
                     continue
+            if self.random.random() < 0.4:
+                worker.state = "draining"
+                self.store.put("servers", worker.name, worker.entry(self.sequence))
+                await asyncio.sleep(self.random.choice([0.1, 0.4, 1]))
             worker.kill()
             await asyncio.sleep(self.random.choice([0, 0.3]))
             self.store.delete("servers", worker.name)
--- a/tests/ended_early_answer_test.cc
+++ b/tests/ended_early_answer_test.cc
@@ -1,5 +1,6 @@
 // Answers without a length or chunks that end before they are whole.
 
+#include <cstdint>
 #include <string>
 #include <thread>
 
@@ -15,56 +16,74 @@
 const std::string kFirstEvent = "id: 1\ndata: a\n\n";
 const std::string kSecondEvent = "id: 2\ndata: b\n\n";
 
+// Ways by which an instance knows that an upstream leaves.
+enum class Leaving : std::uint8_t { kNot, kDrains, kSaysSo, kIsRemoved };
+
 // An upstream that ends regularly within its answer: its connection is closed, and nobody accepts
 // a new one.
-RawServer::Handler EndsAfter(const std::string& bytes) {
-  return [bytes](RawServer& server, int) {
-    server.StopAccepting();
-    server.SendAndClose(bytes);
-  };
-}
+struct EndingUpstream {
+  explicit EndingUpstream(const std::string& bytes)
+      : fixture([this, bytes](RawServer& server, int) {
+          UpstreamSet& upstreams = fixture.relay.upstreams();
+          if (leaving == Leaving::kDrains) {
+            upstreams.Find("raw-1")->draining = true;
+          } else if (leaving == Leaving::kIsRemoved) {
+            upstreams.Remove("raw-1", BootTimeNow());
+          }
+          server.StopAccepting();
+          server.SendAndClose((leaving == Leaving::kSaysSo ? kUntilCloseLeaving : kUntilClose) +
+                              bytes);
+        }) {}
+
+  const std::string kUntilCloseLeaving =
+      kUntilClose.substr(0, kUntilClose.size() - 2) + RelayFixture::Names().leaving + ": 1\r\n\r\n";
+  Leaving leaving =
+      GENERATE(Leaving::kNot, Leaving::kDrains, Leaving::kSaysSo, Leaving::kIsRemoved);
+  RawFixture fixture;
+};
 
 }  // namespace
 
 // Guards against an answer whose upstream is killed within it: the kernel closes the connection
-// regularly, and the part that had arrived looked like a whole answer.
+// regularly, and the part that had arrived looked like a whole answer. That an upstream leaves does
+// not tell that its answer is whole (review/8, ORDER).
 TEST_CASE("An answer that ends with its upstream does not look complete") {
   SECTION("of a call that may run once") {
-    RawFixture fixture(EndsAfter(kUntilClose + "resu"));
-    CHECK(fixture.SendAndWait(RelayFixture::Request("/book/x")).status == 502);
+    EndingUpstream upstream("resu");
+    CHECK(upstream.fixture.SendAndWait(RelayFixture::Request("/book/x")).status == 502);
   }
   SECTION("of a call that may be repeated, which is sent to another upstream") {
-    RawFixture fixture(EndsAfter(kUntilClose + "resu"));
-    fixture.AddUpstream("up-1", FakeUpstream::Succeed);
-    for (const CallerResponse& response : fixture.SendUntilAsked("/read/x")) {
+    EndingUpstream upstream("resu");
+    upstream.fixture.AddUpstream("up-1", FakeUpstream::Succeed);
+    for (const CallerResponse& response : upstream.fixture.SendUntilAsked("/read/x")) {
       CHECK(response.status == 200);
       CHECK(response.body == "result");
     }
-    CHECK(fixture.server.connections() == 1);
+    CHECK(upstream.fixture.server.connections() == 1);
   }
   SECTION("that is too large to be buffered") {
-    RawFixture fixture(EndsAfter(kUntilClose + std::string(200 * 1024, 'x')));
-    CHECK_FALSE(fixture.SendAndWait(RelayFixture::Request("/book/x")).complete);
+    EndingUpstream upstream(std::string(200 * 1024, 'x'));
+    CHECK_FALSE(upstream.fixture.SendAndWait(RelayFixture::Request("/book/x")).complete);
   }
   SECTION("of a stream that ends between two events") {
-    RawFixture fixture(EndsAfter(kUntilClose + kFirstEvent));
-    const CallerResponse response = fixture.SendAndWait(RelayFixture::Request("/chat/x"));
+    EndingUpstream upstream(kFirstEvent);
+    const CallerResponse response = upstream.fixture.SendAndWait(RelayFixture::Request("/chat/x"));
     CHECK_FALSE(response.complete);
     CHECK(response.body == kFirstEvent);
   }
   SECTION("of a stream that goes on at another upstream") {
-    RawFixture fixture(EndsAfter(kUntilClose + kFirstEvent));
-    fixture.AddUpstream("up-1", [](const auto& caller, const CallerRequest& request) {
+    EndingUpstream upstream(kFirstEvent);
+    upstream.fixture.AddUpstream("up-1", [](const auto& caller, const CallerRequest& request) {
       const bool resumed = request.head.Field("Last-Event-Id") == "1";
       caller->StartResponse(200, {}, FakeUpstream::SealFields(request), BodyFraming::kChunked, 0);
       caller->SendBody(resumed ? kSecondEvent : kFirstEvent + kSecondEvent);
       caller->EndResponse();
     });
-    for (const CallerResponse& response : fixture.SendUntilAsked("/chat/x")) {
+    for (const CallerResponse& response : upstream.fixture.SendUntilAsked("/chat/x")) {
       CHECK(response.complete);
       CHECK(response.body == kFirstEvent + kSecondEvent);
     }
-    CHECK(fixture.server.connections() == 1);
+    CHECK(upstream.fixture.server.connections() == 1);
   }
   SECTION("of an upstream whose kernel closes its listening socket last") {
     boost::asio::steady_timer* timer = nullptr;
@@ -77,15 +96,35 @@
     timer = &stop;
     CHECK(fixture.SendAndWait(RelayFixture::Request("/book/x")).status == 502);
   }
-  SECTION("but that of an upstream that leaves does") {
-    RawFixture fixture([&](RawServer& server, int request) {
-      fixture.relay.upstreams().Find("raw-1")->draining = true;
-      EndsAfter(kUntilClose + "result")(server, request);
-    });
+}
+
+// Guards against whole answers that are dropped since their upstream accepts no connections before
+// its last answers have ended.
+TEST_CASE("An answer is whole if its upstream refuses connections but still holds others") {
+  bool all_end = false;
+  RawFixture fixture([&](RawServer& server, int) {
+    if (server.connections() == 1) {
+      return;
+    }
+    server.StopAccepting();
+    if (all_end) {
+      server.CloseKept();
+    }
+    server.SendAndClose(kUntilClose + "result");
+  });
+  fixture.server.KeepConnections();
+  CallerResponse held;
+  const auto caller = fixture.Send(RelayFixture::Request("/chat/x"), held);
+  REQUIRE(fixture.RunUntil([&] { return fixture.server.connections() == 1; }));
+  SECTION("as its process lives on") {
     const CallerResponse response = fixture.SendAndWait(RelayFixture::Request("/book/x"));
     CHECK(response.status == 200);
     CHECK(response.body == "result");
   }
+  SECTION("but not if they end with it") {
+    all_end = true;
+    CHECK(fixture.SendAndWait(RelayFixture::Request("/book/x")).status == 502);
+  }
 }
 
 // Guards against a reset that something other than a read has noticed: the kernel reports it once,
--- a/tests/raw_fixture.h
+++ b/tests/raw_fixture.h
@@ -95,6 +95,12 @@
   // Accepts no further connections, as if the process had ended.
   void StopAccepting() { acceptor_.close(); }
 
+  // Keeps the connections accepted so far open when further ones come.
+  void KeepConnections() { keeps_connections_ = true; }
+
+  // Closes the connections that were kept.
+  void CloseKept() { kept_.clear(); }
+
   // Resets the connection at once.
   void Reset() {
     socket_.set_option(boost::asio::socket_base::linger(true, 0));
@@ -143,6 +149,9 @@
           if (!error) {
             ++connections_;
             requests_ = 0;
+            if (keeps_connections_) {
+              kept_.push_back(std::move(socket_));
+            }
             socket_ = std::move(socket);
             ReadRequest();
             Accept();
@@ -168,6 +177,8 @@
   boost::asio::ip::tcp::socket socket_;
   std::shared_ptr<boost::asio::streambuf> received_ = std::make_shared<boost::asio::streambuf>();
   Handler handler_;
+  std::vector<boost::asio::ip::tcp::socket> kept_;
+  bool keeps_connections_ = false;
   int requests_ = 0;
   int connections_ = 0;
   std::size_t sent_ = 0;
