Keep a held prompt segment from services where it was never answered

Cause: the hash of a segment was that of its id and its service together, so that ends and holds at one service said nothing at another.

Change: the service has its own bits in the hash. Ends at all services count together, each since the last answer at its own. A held segment is kept from services where it was never answered, but for one request: if that ends an upstream, the segment is held there too; if it is answered, the segment is free there, on all instances.

Why it works: a part that crashes each worker gets one request at the next service and none at further ones, while sound parts of a service whose upstreams end for another reason are free elsewhere at once, or after one answer.

--- a/src/prompt_quarantine.cc
+++ b/src/prompt_quarantine.cc
@@ -10,7 +10,8 @@
 namespace chiverail {
 
 SegmentHash SegmentHashOf(const std::string& segment_id, const std::string& service) {
-  return XXH64(segment_id.data(), segment_id.size(), XXH64(service.data(), service.size(), 0));
+  const SegmentHash at_service = XXH64(service.data(), service.size(), 0) << (64 - kServiceBits);
+  return at_service | PartOf(XXH64(segment_id.data(), segment_id.size(), 0));
 }
 
 TimePoint PromptQuarantine::LastBegun(SegmentHash segment) const {
@@ -81,6 +82,7 @@
     MakeRoom();
   }
   ProlongHolds(report);
+  SpreadHolds(report, now);
   report.known_at = now;
   report.segments = MostSuspect(report.segments, kMaxSegmentsPerReport);
   reports_.push_back(std::move(report));
@@ -106,7 +108,7 @@
   };
   std::vector<Ranked> ranked;
   for (std::size_t i = 0; i < once.size(); ++i) {
-    const auto found = ends.find(once[i]);
+    const auto found = ends.find(PartOf(once[i]));
     ranked.push_back({found == ends.end() ? 0 : found->second.size(), LastBegun(once[i]), i});
   }
   const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(limit);
@@ -141,6 +143,28 @@
   }
 }
 
+// An end after the last one that is ascribed to the segment is that of a trial, or of a request
+// that was on its way when the segment was held.
+void PromptQuarantine::SpreadHolds(const Report& report, TimePoint now) {
+  for (const SegmentHash segment : report.segments) {
+    if (holds_.count(segment) > 0 || report.at <= LastBegun(segment)) {
+      continue;
+    }
+    Hold spread;
+    for (const Hold* hold : HoldsElsewhere(segment)) {
+      if (hold->since < report.at) {
+        spread.since = report.at;
+        spread.strikes = std::max({spread.strikes, hold->strikes, std::uint32_t{1}});
+      }
+    }
+    if (spread.since != TimePoint{}) {
+      changes_.push_back(
+          {QuarantineEvent::kSpread, segment, RetryAfter(spread, now), {report.upstream}});
+      AddHold(segment, spread);
+    }
+  }
+}
+
 // Drops the oldest report that makes no segment more suspect than any other, so that the ends of
 // many upstreams at once, or made-up segments, don't displace the evidence against one segment.
 void PromptQuarantine::MakeRoom() {
@@ -180,7 +204,7 @@
     for (const Report* report : reports[i]) {
       for (const SegmentHash segment : report->segments) {
         if (LastBegun(segment) < report->at) {
-          ends[segment].insert(i);
+          ends[PartOf(segment)].insert(i);
         }
       }
     }
@@ -191,7 +215,7 @@
 std::size_t PromptQuarantine::MostEnds(const Report& report, const SegmentEnds& ends) const {
   std::size_t most = 0;
   for (const SegmentHash segment : report.segments) {
-    const auto found = ends.find(segment);
+    const auto found = ends.find(PartOf(segment));
     if (found != ends.end() && LastBegun(segment) < report.at) {
       most = std::max(most, found->second.size());
     }
@@ -211,12 +235,16 @@
   Verdict verdict;
   for (std::size_t i = 0; i < segments.size() && !holds_.empty(); ++i) {
     const auto held = holds_.find(segments[i]);
-    if (held == holds_.end()) {
+    if (held != holds_.end()) {
+      verdict.retry_after = RetryAfter(held->second, now);
+      verdict.trial = MayTry(held->first, held->second, owns_trial(segments[i]), now);
+    } else if (IsHeldElsewhere(segments[i])) {
+      verdict.retry_after = RetryAfterElsewhere(segments[i], now);
+      verdict.trial = MayTryElsewhere(segments[i], owns_trial(segments[i]), now);
+    } else {
       continue;
     }
     verdict.position = i;
-    verdict.retry_after = RetryAfter(held->second, now);
-    verdict.trial = MayTry(held->first, held->second, owns_trial(segments[i]), now);
     verdict.held = !verdict.trial;
     if (verdict.held) {
       break;
@@ -239,9 +267,53 @@
   return std::max<Duration>(hold.until() - now, kTrialTime);
 }
 
+std::vector<const PromptQuarantine::Hold*> PromptQuarantine::HoldsElsewhere(
+    SegmentHash segment) const {
+  std::vector<const Hold*> holds;
+  for (const auto& [held, hold] : holds_) {
+    if (held != segment && PartOf(held) == PartOf(segment)) {
+      holds.push_back(&hold);
+    }
+  }
+  return holds;
+}
+
+bool PromptQuarantine::IsHeldElsewhere(SegmentHash segment) const {
+  return LastBegun(segment) == TimePoint{} && !HoldsElsewhere(segment).empty();
+}
+
+// The ends of one service may have another reason, those of two hardly.
+bool PromptQuarantine::MayTryElsewhere(SegmentHash segment, bool owns_trial, TimePoint now) {
+  const auto holds = HoldsElsewhere(segment);
+  const bool over = std::all_of(holds.begin(), holds.end(),
+                                [now](const Hold* hold) { return hold->until() <= now; });
+  Elsewhere& state = elsewhere_[segment];
+  const bool due = state.trial_at == TimePoint{} || state.trial_at + kTrialTime <= now;
+  const bool early = holds.size() == 1 && state.trials < kMaxTrialsElsewhere;
+  if (!owns_trial || !due || !(early || over)) {
+    return false;
+  }
+  ++state.trials;
+  state.trial_at = now;
+  changes_.push_back({QuarantineEvent::kTrialElsewhere, segment, {}, {}});
+  return true;
+}
+
+Duration PromptQuarantine::RetryAfterElsewhere(SegmentHash segment, TimePoint now) const {
+  const auto holds = HoldsElsewhere(segment);
+  if (holds.size() == 1) {
+    return kTrialTime;
+  }
+  Duration longest{};
+  for (const Hold* hold : holds) {
+    longest = std::max(longest, RetryAfter(*hold, now));
+  }
+  return longest;
+}
+
 bool PromptQuarantine::HasHold(const std::vector<SegmentHash>& segments) const {
   return !holds_.empty() && std::any_of(segments.begin(), segments.end(), [this](SegmentHash hash) {
-    return holds_.count(hash) > 0;
+    return holds_.count(hash) > 0 || IsHeldElsewhere(hash);
   });
 }
 
@@ -268,12 +340,14 @@
     for (const Report* report : reports) {
       if (report->cleared_at == TimePoint{}) {
         end.known_at = std::min(end.known_at, report->known_at);
-        end.segments.insert(report->segments.begin(), report->segments.end());
+        for (const SegmentHash segment : report->segments) {
+          end.segments.emplace(PartOf(segment), segment);
+        }
       }
     }
     const bool explained =
-        std::any_of(end.segments.begin(), end.segments.end(), [&](SegmentHash segment) {
-          return holds_.count(segment) > 0 && LastBegun(segment) < end.at;
+        std::any_of(end.segments.begin(), end.segments.end(), [&](const auto& segment) {
+          return holds_.count(segment.second) > 0 && LastBegun(segment.second) < end.at;
         });
     if (!end.segments.empty() && !explained) {
       ends.push_back(std::move(end));
@@ -282,22 +356,26 @@
   return ends;
 }
 
-std::optional<PromptQuarantine::Culprit> PromptQuarantine::WeighSegment(
-    SegmentHash segment,
-    const std::vector<End>& ends,
-    TimePoint now) const {
+std::optional<PromptQuarantine::Culprit> PromptQuarantine::WeighPart(PartHash part,
+                                                                     const std::vector<End>& ends,
+                                                                     TimePoint now) const {
   Culprit culprit;
-  culprit.segment = segment;
-  const TimePoint begun = LastBegun(segment);
-  culprit.known = begun != TimePoint{};
   std::set<std::uint32_t> upstreams;
   TimePoint first{};
   TimePoint cause{};  // first end of those with the same cause
   std::vector<TimePoint> known_at;
   for (const End& end : ends) {
-    if (end.segments.count(segment) == 0 || end.at <= begun) {
+    const auto found = end.segments.find(part);
+    if (found == end.segments.end()) {
+      continue;
+    }
+    const TimePoint begun = LastBegun(found->second);
+    culprit.known = culprit.known || begun != TimePoint{};
+    if (end.at <= begun) {
       continue;
     }
+    culprit.segment = found->second;
+    culprit.at_services.insert(found->second);
     upstreams.insert(end.upstream);
     first = first == TimePoint{} ? end.at : first;
     culprit.last = end.at;
@@ -309,7 +387,7 @@
   culprit.ends = known_at.size();
   // Upstreams that end as often without the segment do so by themselves.
   const auto without = std::count_if(ends.begin(), ends.end(), [&](const End& end) {
-    return first <= end.at && end.at <= culprit.last && end.segments.count(segment) == 0 &&
+    return first <= end.at && end.at <= culprit.last && end.segments.count(part) == 0 &&
            upstreams.count(end.upstream) > 0;
   });
   const bool telling =
@@ -325,7 +403,7 @@
     return std::nullopt;
   }
   culprit.upstreams.assign(upstreams.begin(), upstreams.end());
-  culprit.position = PositionOf(segment);
+  culprit.position = PositionOf(culprit.segment);
   return culprit;
 }
 
@@ -348,17 +426,19 @@
     return std::nullopt;
   }
   const std::vector<End> ends = UnexplainedEnds();
-  std::set<SegmentHash> segments;
+  std::set<PartHash> parts;
   for (const End& end : ends) {
-    segments.insert(end.segments.begin(), end.segments.end());
+    for (const auto& [part, segment] : end.segments) {
+      parts.insert(part);
+    }
   }
   const auto rank = [](const Culprit& culprit) {
     return std::make_tuple(!culprit.known, culprit.ends, culprit.position);
   };
   std::optional<Culprit> best;
   bool ambiguous = false;
-  for (const SegmentHash segment : segments) {
-    const auto culprit = WeighSegment(segment, ends, now);
+  for (const PartHash part : parts) {
+    const auto culprit = WeighPart(part, ends, now);
     if (!culprit) {
       continue;
     }
@@ -373,19 +453,24 @@
   return best;
 }
 
-void PromptQuarantine::HoldSegment(const Culprit& culprit, TimePoint now) {
+void PromptQuarantine::AddHold(SegmentHash segment, const Hold& hold) {
   if (holds_.size() >= kMaxHolds) {
     const auto oldest = std::min_element(
         holds_.begin(), holds_.end(),
         [](const auto& a, const auto& b) { return a.second.until() < b.second.until(); });
     holds_.erase(oldest);
   }
+  holds_[segment] = hold;
+}
+
+void PromptQuarantine::HoldSegment(const Culprit& culprit, TimePoint now) {
   Hold hold;
   hold.since = culprit.last;
   hold.strikes = culprit.burst ? 0 : 1;
-  changes_.push_back(
-      {QuarantineEvent::kHeld, culprit.segment, RetryAfter(hold, now), culprit.upstreams});
-  holds_[culprit.segment] = hold;
+  for (const SegmentHash segment : culprit.at_services) {
+    changes_.push_back({QuarantineEvent::kHeld, segment, RetryAfter(hold, now), culprit.upstreams});
+    AddHold(segment, hold);
+  }
 }
 
 void PromptQuarantine::Update(TimePoint now) {
@@ -397,6 +482,10 @@
       ++held;
     }
   }
+  for (auto state = elsewhere_.begin(); state != elsewhere_.end();) {
+    const bool held = holds_.count(state->first) == 0 && !HoldsElsewhere(state->first).empty();
+    state = held ? std::next(state) : elsewhere_.erase(state);
+  }
   const auto is_old = [now](const Report& report) { return report.at + kEvidenceTime <= now; };
   reports_.erase(std::remove_if(reports_.begin(), reports_.end(), is_old), reports_.end());
   for (Report& report : reports_) {
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -18,11 +18,21 @@
 
 namespace chiverail {
 
-// Hash of a prompt segment's id and of the service that the request is for.
+// Hash of a prompt segment's id, and of the service that the request is for in the upper
+// kServiceBits.
 using SegmentHash = std::uint64_t;
 
+inline constexpr int kServiceBits = 20;
+
 SegmentHash SegmentHashOf(const std::string& segment_id, const std::string& service);
 
+// The part of the hash that is the same for all services.
+using PartHash = std::uint64_t;
+
+constexpr PartHash PartOf(SegmentHash segment) {
+  return segment & (~PartHash{0} >> kServiceBits);
+}
+
 // An upstream ended while requests of one instance waited there for the begin of their answers.
 struct CrashReport {
   std::uint32_t reporter = 0;         // InstanceKey of that instance
@@ -58,16 +68,20 @@
   kLearned,
   kProlonged,
   kTrial,
+  kTrialElsewhere,
+  kSpread,
   kLifted,
   kExpired
 };
-inline constexpr std::array<EnumName<QuarantineEvent>, 6> kQuarantineEventNames{{
+inline constexpr std::array<EnumName<QuarantineEvent>, 8> kQuarantineEventNames{{
     {QuarantineEvent::kHeld, "held"},            // on the evidence that this instance has
     {QuarantineEvent::kLearned, "learned"},      // from another instance
     {QuarantineEvent::kProlonged, "prolonged"},  // an upstream ended after a trial
     {QuarantineEvent::kTrial, "trial"},          // one request is let through
-    {QuarantineEvent::kLifted, "lifted"},        // a request with it was answered
-    {QuarantineEvent::kExpired, "expired"},      // nobody has asked for it for long
+    {QuarantineEvent::kTrialElsewhere, "trial at another service"},
+    {QuarantineEvent::kSpread, "spread"},    // an upstream ended at another service as well
+    {QuarantineEvent::kLifted, "lifted"},    // a request with it was answered
+    {QuarantineEvent::kExpired, "expired"},  // nobody has asked for it for long
 }};
 struct QuarantineChange {
   QuarantineEvent event;
@@ -85,7 +99,15 @@
 // with it has begun since the first of these ends, anywhere in the fleet. What counts are ends: one
 // upstream that is restarted and ends again is as good evidence as several, only more of it is
 // needed, since an upstream may also end by itself. Ends that a held segment explains don't count
-// against the others that were there. Instances exchange their observations, not sums, so that one
+// against the others that were there.
+//
+// What is known of a segment holds for each service, since requests may move from one to another:
+// its ends at all services count together, each since the last answer at its own. A segment that is
+// held for one service is kept from another, too, unless it was answered there. The upstreams of a
+// service may have ended for another reason, so a few requests are tried at the other one; if an
+// upstream ends there, too, the segment is held for both.
+//
+// Instances exchange their observations, not sums, so that one
 // end that several instances see, or hear of twice, counts once.
 class PromptQuarantine {
  public:
@@ -122,7 +144,7 @@
   // with it has ever been answered. Such a request should not be sent again.
   bool IsSuspect(const std::vector<SegmentHash>& segments) const;
 
-  // Returns whether one of these segments is held or being tried.
+  // Returns whether one of these segments is held or being tried, at their service or another one.
   bool HasHold(const std::vector<SegmentHash>& segments) const;
 
   // Returns whether one of these segments was never answered.
@@ -178,6 +200,10 @@
   // Time for the answer of a trial to begin before the next trial.
   static constexpr Duration kTrialTime = seconds(10);
 
+  // Trials of a segment at a service where it is neither held nor known to be sound, while it is
+  // held at one other service. The second one is for a trial without a result.
+  static constexpr int kMaxTrialsElsewhere = 2;
+
   // Bounds of the memory, whatever callers send.
   static constexpr std::size_t kMaxReports = 128;
   static constexpr std::size_t kMaxSegmentsPerReport = 32;
@@ -210,33 +236,49 @@
     }
   };
 
+  // A segment at a service where it is not held itself, while it is held elsewhere.
+  struct Elsewhere {
+    int trials = 0;
+    TimePoint trial_at{};
+  };
+
   // The end of an upstream, from the reports of all instances.
   struct End {
     std::uint32_t upstream = 0;
     TimePoint at{};
     TimePoint known_at{};
-    std::set<SegmentHash> segments;
+    std::map<PartHash, SegmentHash> segments;
   };
 
   // A segment that the evidence suffices to hold.
   struct Culprit {
-    SegmentHash segment = 0;
-    bool known = false;        // requests with it were answered before
-    std::size_t ends = 0;      // at different times
-    std::size_t position = 0;  // in the prompt, counted from the first segment
-    bool burst = false;        // all of them within kBurstTime
+    SegmentHash segment = 0;              // at the service of the last end
+    std::set<SegmentHash> at_services{};  // at all services with ends
+    bool known = false;                   // requests with it were answered before
+    std::size_t ends = 0;                 // at different times
+    std::size_t position = 0;             // in the prompt, counted from the first segment
+    bool burst = false;                   // all of them within kBurstTime
     TimePoint last{};
     std::vector<std::uint32_t> upstreams;
   };
 
-  // Numbers of the ends under each segment.
-  using SegmentEnds = std::unordered_map<SegmentHash, std::set<std::size_t>>;
+  // Numbers of the ends under each segment, at any service.
+  using SegmentEnds = std::unordered_map<PartHash, std::set<std::size_t>>;
 
   TimePoint LastBegun(SegmentHash segment) const;
   bool MayTry(SegmentHash segment, Hold& hold, bool owns_trial, TimePoint now);
+  // Holds of the same segment at other services.
+  std::vector<const Hold*> HoldsElsewhere(SegmentHash segment) const;
+  // Returns whether a segment that is not held itself is to be kept from its service.
+  bool IsHeldElsewhere(SegmentHash segment) const;
+  bool MayTryElsewhere(SegmentHash segment, bool owns_trial, TimePoint now);
+  Duration RetryAfterElsewhere(SegmentHash segment, TimePoint now) const;
   static Duration RetryAfter(const Hold& hold, TimePoint now);
   void AddReport(Report report, TimePoint now);
   void ProlongHolds(const Report& report);
+  // Holds the segments of an end at its service that are held at another one.
+  void SpreadHolds(const Report& report, TimePoint now);
+  void AddHold(SegmentHash segment, const Hold& hold);
   void MakeRoom();
   // Reports by the end that they are about, in the order of the ends.
   std::vector<std::vector<const Report*>> ReportsByEnd() const;
@@ -245,9 +287,9 @@
   bool IsCleared(const Report& report) const;
   std::vector<const Report*> ReportsToTell(TimePoint now) const;
   std::vector<End> UnexplainedEnds() const;
-  std::optional<Culprit> WeighSegment(SegmentHash segment,
-                                      const std::vector<End>& ends,
-                                      TimePoint now) const;
+  std::optional<Culprit> WeighPart(PartHash part,
+                                   const std::vector<End>& ends,
+                                   TimePoint now) const;
   std::optional<Culprit> FindCulprit(TimePoint now) const;
   std::size_t PositionOf(SegmentHash segment) const;
   void HoldSegment(const Culprit& culprit, TimePoint now);
@@ -258,6 +300,7 @@
   std::uint64_t sequence_ = 0;
   std::deque<Report> reports_;
   std::map<SegmentHash, Hold> holds_;
+  std::map<SegmentHash, Elsewhere> elsewhere_;
   // Times of the last begun answers. Once the newer map is full it replaces the older one.
   std::unordered_map<SegmentHash, TimePoint> begun_;
   std::unordered_map<SegmentHash, TimePoint> begun_before_;
--- a/src/quarantine_news.cc
+++ b/src/quarantine_news.cc
@@ -63,6 +63,9 @@
       news.holds.push_back({segment, now - hold.since, hold.strikes});
     }
   }
+  for (const auto& [segment, state] : elsewhere_) {
+    segments.insert(segment);
+  }
   for (const SegmentHash segment : segments) {
     const TimePoint begun = LastBegun(segment);
     if (begun != TimePoint{} && news.begun.size() < kMaxBegunSent) {
