Reject such requests in the daemon's server, too

The same cause as in the gateway: Beast takes a request with an unknown transfer coding for one without a body, and the daemon handled the body as the next request of the connection. It gets 400 with unsupported_transfer_coding and the connection is closed.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,5 +1,6 @@
 #include "http_server.h"
 
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http_message.h"
 #include "log.h"
 
 namespace chiverail {
@@ -161,6 +163,17 @@
   return request;
 }
 
+// Beast takes a request with another coding than chunked for one without a body.
+bool HasKnownEnd(const http::request<http::string_body>& request) {
+  const auto codings = request.equal_range(http::field::transfer_encoding);
+  if (codings.first == codings.second) {
+    return true;
+  }
+  const auto coding = codings.first->value();
+  return std::next(codings.first) == codings.second && request.version() >= 11 &&
+         IsSupportedCoding({coding.data(), coding.size()});
+}
+
 }  // namespace
 
 // The acceptor and its connections. Connections share ownership, so that the server may be
@@ -256,11 +269,20 @@
     http::async_read(stream, buffer, parser, yield[error]);
     idle_.erase(&stream);
     if (error == http::error::body_limit) {
-      return RefuseLargeBody(stream, yield);
+      return Refuse(stream, 413,
+                    R"({"code":"body_too_large","message":"the body is over the limit of )" +
+                        std::to_string(limits_.max_body_bytes) + R"( bytes","ran":"no"})",
+                    yield);
     }
     if (error) {
       return false;
     }
+    if (!HasKnownEnd(parser.get())) {
+      return Refuse(stream, 400,
+                    R"({"code":"unsupported_transfer_coding","message":"the body has )"
+                    R"(a transfer coding other than chunked","ran":"no"})",
+                    yield);
+    }
     const CallerTerms terms{parser.get().keep_alive() && !stopping_, parser.get().version() < 11};
     ServerExchange exchange(stream, FromWire(parser.release()), terms, limits_.write, yield);
     return Handle(exchange, yield);
@@ -285,13 +307,14 @@
     return reusable && exchange.keep_alive();
   }
 
-  bool RefuseLargeBody(beast::tcp_stream& stream, asio::yield_context yield) {
+  // Answers a request that is not handled and closes the connection.
+  bool Refuse(beast::tcp_stream& stream,
+              int status,
+              const std::string& body,
+              asio::yield_context yield) {
     ServerExchange exchange(stream, {}, {}, limits_.write, yield);
     try {
-      exchange.Respond(413,
-                       R"({"code":"body_too_large","message":"the body is over the limit of )" +
-                           std::to_string(limits_.max_body_bytes) + R"( bytes","ran":"no"})",
-                       {});
+      exchange.Respond(status, body, {});
     } catch (const HttpError&) {
     }
     DiscardInput(stream, yield);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -353,6 +353,25 @@
       });
 }
 
+// Guards against a request in the body of another one (as review/6 shows of the gateway): the
+// body's end is not known if its coding is not.
+TEST_CASE("The HTTP server handles no request with a transfer coding other than chunked") {
+  const std::string inner = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string coding =
+      GENERATE(from_range(kUnsupportedCodings), std::string("chunked\r\nTransfer-Encoding: gzip"));
+  INFO(coding);
+  int handled = 0;
+  const auto respond = [&](HttpServerExchange& exchange, yield_context) {
+    ++handled;
+    exchange.Respond(200, "{}", {});
+  };
+  const RawExchange exchange(
+      respond, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + inner);
+  CHECK(handled == 0);
+  CHECK(exchange.received.find(" 200 ") == std::string::npos);
+  CHECK(exchange.ended);
+}
+
 // Guards against streams that break off and look complete to callers that don't know chunks.
 TEST_CASE("A stream for a caller of HTTP/1.0") {
   const std::string request = "GET / HTTP/1.0\r\n\r\n";
