Refuse requests at a start until the configuration is as new as the fleet's

Cause: only running processes know that the store's configuration is older than the one in force, and no message said so.

Change: instances tell the version that they have in force. One that has started refuses requests with 503 until its own is as new as what it was told in its first 5 s.

--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -96,6 +96,10 @@
   bool has_era = true;
 };
 
+// A notice with this name in place of a table has the version of the configuration that its sender
+// has in force. It is not passed on.
+inline constexpr const char* kConfigInForce = "in force";
+
 // When a message was sent. The receiver finds a lower bound for that on its own clock from the echo
 // of a message of its own, however long the message or its sender was held up and whatever the
 // clocks of the two instances show. Times are whole milliseconds, rounded down.
--- a/src/fleet_receive.cc
+++ b/src/fleet_receive.cc
@@ -69,7 +69,7 @@
       continue;
     }
     notice.dated = sent_at.has_value();
-    if (notice.dated) {
+    if (notice.dated && notice.table != kConfigInForce) {
       notice.age += now - *sent_at;
       notice_relay_.OnNotice(source, notice, reported, now);
     }
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "relay_call.h"
+#include "table_version.h"
 
 namespace chiverail {
 namespace {
@@ -72,7 +73,14 @@
   hooks.record_segment = [this](const CachedSegment& segment, TimePoint now) {
     return cache_holders_.OnPeerRecord(segment, now);
   };
-  hooks.notices = [this] { return table_notices_ ? table_notices_() : std::vector<TableNotice>{}; };
+  hooks.notices = [this] {
+    std::vector<TableNotice> notices =
+        table_notices_ ? table_notices_() : std::vector<TableNotice>{};
+    if (table_) {
+      notices.push_back({kConfigInForce, CounterOf(table_->version()), {}, {}});
+    }
+    return notices;
+  };
   hooks.quarantine = [this](TimePoint now) { return quarantine_.News(now); };
   hooks.on_quarantine = [this](const QuarantineNews& news, TimePoint now) {
     quarantine_.Merge(news, now);
@@ -85,7 +93,9 @@
     }
   };
   hooks.on_notice = [this](const std::string& peer_address, const TableNotice& notice) {
-    if (on_table_notice_) {
+    if (notice.table == kConfigInForce) {
+      OnConfigInForce(CounterOf(notice.version));
+    } else if (on_table_notice_) {
       on_table_notice_(peer_address, notice);
     }
   };
@@ -121,7 +131,25 @@
   return config_confirmed_at_ != TimePoint{} && now < config_confirmed_at_ + limits_.key_age;
 }
 
+void Relay::OnConfigInForce(std::uint64_t version) {
+  const TimePoint now = BootTimeNow();
+  const bool was_behind = IsBehindAtStart(now);
+  start_version_.OnTold(version, now);
+  if (!was_behind && IsBehindAtStart(now)) {
+    log_.Write(Decision::kConfig, {{"outcome", "others have a newer configuration in force"},
+                                   {"version", table_->version()},
+                                   {"in_force", version}});
+  }
+}
+
+bool Relay::IsBehindAtStart(TimePoint now) const {
+  return table_ && start_version_.IsBehind(CounterOf(table_->version()), now);
+}
+
 bool Relay::IsSuperseded(TimePoint now) const {
+  if (IsBehindAtStart(now)) {
+    return true;
+  }
   return limits_.superseded_age > Duration::zero() && superseded_check_ && superseded_check_() &&
          config_confirmed_at_ + limits_.superseded_age <= now;
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -16,6 +16,7 @@
 
 #include "cache_holders.h"
 #include "caller_connection.h"
+#include "config_guard/start_version.h"
 #include "connect_check.h"
 #include "decision_log.h"
 #include "fleet_exchange.h"
@@ -171,8 +172,11 @@
   // Sets the function that returns whether another instance has a newer configuration.
   void SetSupersededCheck(std::function<bool()> check) { superseded_check_ = std::move(check); }
 
+  // Another instance tells the version of the configuration that it has in force.
+  void OnConfigInForce(std::uint64_t version);
+
   // True if another instance has had a newer configuration for so long that the one in force must
-  // not be used any more.
+  // not be used any more, or had one in force when this instance started.
   bool IsSuperseded(TimePoint now) const;
 
   // Sets the function that tells the other instances at once what has changed.
@@ -300,6 +304,7 @@
     std::vector<SegmentHash> hashes;    // the most suspect segments of each request
   };
 
+  bool IsBehindAtStart(TimePoint now) const;
   void UpdateGates(TimePoint now);
   void ForEachCall(const std::function<void(RelayCall&)>& act);
   void RefreshShares(TimePoint now);
@@ -328,6 +333,7 @@
   Metrics& metrics_;
   std::shared_ptr<const RouteTable> table_;
   TimePoint config_confirmed_at_{};
+  StartVersion start_version_{BootTimeNow()};
   UpstreamSet upstreams_;
   CacheHolders cache_holders_;
   PromptQuarantine quarantine_;
