Split the quarantine's rules for several services off, and bound its loop

No change of behaviour but one: with a full table of holds, adding the holds of one segment at two services could drop one of them again and weigh the same ends forever; a pass adds at most as many segments as there are holds. By reading, no test. Names: the hash of an id alone is an IdHash.

--- a/src/prompt_quarantine.cc
+++ b/src/prompt_quarantine.cc
@@ -11,7 +11,7 @@
 
 SegmentHash SegmentHashOf(const std::string& segment_id, const std::string& service) {
   const SegmentHash at_service = XXH64(service.data(), service.size(), 0) << (64 - kServiceBits);
-  return at_service | PartOf(XXH64(segment_id.data(), segment_id.size(), 0));
+  return at_service | IdHashOf(XXH64(segment_id.data(), segment_id.size(), 0));
 }
 
 TimePoint PromptQuarantine::LastBegun(SegmentHash segment) const {
@@ -108,7 +108,7 @@
   };
   std::vector<Ranked> ranked;
   for (std::size_t i = 0; i < once.size(); ++i) {
-    const auto found = ends.find(PartOf(once[i]));
+    const auto found = ends.find(IdHashOf(once[i]));
     ranked.push_back({found == ends.end() ? 0 : found->second.size(), LastBegun(once[i]), i});
   }
   const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(limit);
@@ -143,28 +143,6 @@
   }
 }
 
-// An end after the last one that is ascribed to the segment is that of a trial, or of a request
-// that was on its way when the segment was held.
-void PromptQuarantine::SpreadHolds(const Report& report, TimePoint now) {
-  for (const SegmentHash segment : report.segments) {
-    if (holds_.count(segment) > 0 || report.at <= LastBegun(segment)) {
-      continue;
-    }
-    Hold spread;
-    for (const Hold* hold : HoldsElsewhere(segment)) {
-      if (hold->since < report.at) {
-        spread.since = report.at;
-        spread.strikes = std::max({spread.strikes, hold->strikes, std::uint32_t{1}});
-      }
-    }
-    if (spread.since != TimePoint{}) {
-      changes_.push_back(
-          {QuarantineEvent::kSpread, segment, RetryAfter(spread, now), {report.upstream}});
-      AddHold(segment, spread);
-    }
-  }
-}
-
 // Drops the oldest report that makes no segment more suspect than any other, so that the ends of
 // many upstreams at once, or made-up segments, don't displace the evidence against one segment.
 void PromptQuarantine::MakeRoom() {
@@ -204,7 +182,7 @@
     for (const Report* report : reports[i]) {
       for (const SegmentHash segment : report->segments) {
         if (LastBegun(segment) < report->at) {
-          ends[PartOf(segment)].insert(i);
+          ends[IdHashOf(segment)].insert(i);
         }
       }
     }
@@ -215,7 +193,7 @@
 std::size_t PromptQuarantine::MostEnds(const Report& report, const SegmentEnds& ends) const {
   std::size_t most = 0;
   for (const SegmentHash segment : report.segments) {
-    const auto found = ends.find(PartOf(segment));
+    const auto found = ends.find(IdHashOf(segment));
     if (found != ends.end() && LastBegun(segment) < report.at) {
       most = std::max(most, found->second.size());
     }
@@ -267,50 +245,6 @@
   return std::max<Duration>(hold.until() - now, kTrialTime);
 }
 
-std::vector<const PromptQuarantine::Hold*> PromptQuarantine::HoldsElsewhere(
-    SegmentHash segment) const {
-  std::vector<const Hold*> holds;
-  for (const auto& [held, hold] : holds_) {
-    if (held != segment && PartOf(held) == PartOf(segment)) {
-      holds.push_back(&hold);
-    }
-  }
-  return holds;
-}
-
-bool PromptQuarantine::IsHeldElsewhere(SegmentHash segment) const {
-  return LastBegun(segment) == TimePoint{} && !HoldsElsewhere(segment).empty();
-}
-
-// The ends of one service may have another reason, those of two hardly.
-bool PromptQuarantine::MayTryElsewhere(SegmentHash segment, bool owns_trial, TimePoint now) {
-  const auto holds = HoldsElsewhere(segment);
-  const bool over = std::all_of(holds.begin(), holds.end(),
-                                [now](const Hold* hold) { return hold->until() <= now; });
-  Elsewhere& state = elsewhere_[segment];
-  const bool due = state.trial_at == TimePoint{} || state.trial_at + kTrialTime <= now;
-  const bool early = holds.size() == 1 && state.trials < kMaxTrialsElsewhere;
-  if (!owns_trial || !due || !(early || over)) {
-    return false;
-  }
-  ++state.trials;
-  state.trial_at = now;
-  changes_.push_back({QuarantineEvent::kTrialElsewhere, segment, {}, {}});
-  return true;
-}
-
-Duration PromptQuarantine::RetryAfterElsewhere(SegmentHash segment, TimePoint now) const {
-  const auto holds = HoldsElsewhere(segment);
-  if (holds.size() == 1) {
-    return kTrialTime;
-  }
-  Duration longest{};
-  for (const Hold* hold : holds) {
-    longest = std::max(longest, RetryAfter(*hold, now));
-  }
-  return longest;
-}
-
 bool PromptQuarantine::HasHold(const std::vector<SegmentHash>& segments) const {
   return !holds_.empty() && std::any_of(segments.begin(), segments.end(), [this](SegmentHash hash) {
     return holds_.count(hash) > 0 || IsHeldElsewhere(hash);
@@ -341,7 +275,7 @@
       if (report->cleared_at == TimePoint{}) {
         end.known_at = std::min(end.known_at, report->known_at);
         for (const SegmentHash segment : report->segments) {
-          end.segments.emplace(PartOf(segment), segment);
+          end.segments.emplace(IdHashOf(segment), segment);
         }
       }
     }
@@ -356,16 +290,15 @@
   return ends;
 }
 
-std::optional<PromptQuarantine::Culprit> PromptQuarantine::WeighPart(PartHash part,
-                                                                     const std::vector<End>& ends,
-                                                                     TimePoint now) const {
+std::optional<PromptQuarantine::Culprit>
+PromptQuarantine::WeighSegment(IdHash id, const std::vector<End>& ends, TimePoint now) const {
   Culprit culprit;
   std::set<std::uint32_t> upstreams;
   TimePoint first{};
   TimePoint cause{};  // first end of those with the same cause
   std::vector<TimePoint> known_at;
   for (const End& end : ends) {
-    const auto found = end.segments.find(part);
+    const auto found = end.segments.find(id);
     if (found == end.segments.end()) {
       continue;
     }
@@ -387,7 +320,7 @@
   culprit.ends = known_at.size();
   // Upstreams that end as often without the segment do so by themselves.
   const auto without = std::count_if(ends.begin(), ends.end(), [&](const End& end) {
-    return first <= end.at && end.at <= culprit.last && end.segments.count(part) == 0 &&
+    return first <= end.at && end.at <= culprit.last && end.segments.count(id) == 0 &&
            upstreams.count(end.upstream) > 0;
   });
   const bool telling =
@@ -426,10 +359,10 @@
     return std::nullopt;
   }
   const std::vector<End> ends = UnexplainedEnds();
-  std::set<PartHash> parts;
+  std::set<IdHash> ids;
   for (const End& end : ends) {
-    for (const auto& [part, segment] : end.segments) {
-      parts.insert(part);
+    for (const auto& [id, segment] : end.segments) {
+      ids.insert(id);
     }
   }
   const auto rank = [](const Culprit& culprit) {
@@ -437,8 +370,8 @@
   };
   std::optional<Culprit> best;
   bool ambiguous = false;
-  for (const PartHash part : parts) {
-    const auto culprit = WeighPart(part, ends, now);
+  for (const IdHash id : ids) {
+    const auto culprit = WeighSegment(id, ends, now);
     if (!culprit) {
       continue;
     }
@@ -483,8 +416,8 @@
     }
   }
   for (auto state = elsewhere_.begin(); state != elsewhere_.end();) {
-    const bool held = holds_.count(state->first) == 0 && !HoldsElsewhere(state->first).empty();
-    state = held ? std::next(state) : elsewhere_.erase(state);
+    const bool applies = holds_.count(state->first) == 0 && !HoldsElsewhere(state->first).empty();
+    state = applies ? std::next(state) : elsewhere_.erase(state);
   }
   const auto is_old = [now](const Report& report) { return report.at + kEvidenceTime <= now; };
   reports_.erase(std::remove_if(reports_.begin(), reports_.end(), is_old), reports_.end());
@@ -493,7 +426,12 @@
       report.cleared_at = now;
     }
   }
-  while (const auto culprit = FindCulprit(now)) {
+  // A full table of holds may drop one of those that were just added.
+  for (std::size_t added = 0; added < kMaxHolds; ++added) {
+    const auto culprit = FindCulprit(now);
+    if (!culprit) {
+      break;
+    }
     HoldSegment(*culprit, now);
   }
 }
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -26,11 +26,11 @@
 
 SegmentHash SegmentHashOf(const std::string& segment_id, const std::string& service);
 
-// The part of the hash that is the same for all services.
-using PartHash = std::uint64_t;
+// The hash of the id alone, which is the same at all services.
+using IdHash = std::uint64_t;
 
-constexpr PartHash PartOf(SegmentHash segment) {
-  return segment & (~PartHash{0} >> kServiceBits);
+constexpr IdHash IdHashOf(SegmentHash segment) {
+  return segment & (~IdHash{0} >> kServiceBits);
 }
 
 // An upstream ended while requests of one instance waited there for the begin of their answers.
@@ -247,23 +247,23 @@
     std::uint32_t upstream = 0;
     TimePoint at{};
     TimePoint known_at{};
-    std::map<PartHash, SegmentHash> segments;
+    std::map<IdHash, SegmentHash> segments;
   };
 
   // A segment that the evidence suffices to hold.
   struct Culprit {
-    SegmentHash segment = 0;              // at the service of the last end
-    std::set<SegmentHash> at_services{};  // at all services with ends
-    bool known = false;                   // requests with it were answered before
-    std::size_t ends = 0;                 // at different times
-    std::size_t position = 0;             // in the prompt, counted from the first segment
-    bool burst = false;                   // all of them within kBurstTime
+    SegmentHash segment = 0;            // at the service of the last end
+    std::set<SegmentHash> at_services;  // at all services with ends
+    bool known = false;                 // requests with it were answered before
+    std::size_t ends = 0;               // at different times
+    std::size_t position = 0;           // in the prompt, counted from the first segment
+    bool burst = false;                 // all of them within kBurstTime
     TimePoint last{};
     std::vector<std::uint32_t> upstreams;
   };
 
   // Numbers of the ends under each segment, at any service.
-  using SegmentEnds = std::unordered_map<PartHash, std::set<std::size_t>>;
+  using SegmentEnds = std::unordered_map<IdHash, std::set<std::size_t>>;
 
   TimePoint LastBegun(SegmentHash segment) const;
   bool MayTry(SegmentHash segment, Hold& hold, bool owns_trial, TimePoint now);
@@ -287,9 +287,7 @@
   bool IsCleared(const Report& report) const;
   std::vector<const Report*> ReportsToTell(TimePoint now) const;
   std::vector<End> UnexplainedEnds() const;
-  std::optional<Culprit> WeighPart(PartHash part,
-                                   const std::vector<End>& ends,
-                                   TimePoint now) const;
+  std::optional<Culprit> WeighSegment(IdHash id, const std::vector<End>& ends, TimePoint now) const;
   std::optional<Culprit> FindCulprit(TimePoint now) const;
   std::size_t PositionOf(SegmentHash segment) const;
   void HoldSegment(const Culprit& culprit, TimePoint now);
